--- /dev/null
+++ b/src/app/broker.cpp
@@ -0,0 +1,116 @@
+#include "app/broker.hpp"
+
+#include <chrono>
+#include <csignal>
+#include <cstdio>
+#include <cstring>
+
+namespace bellstair::app {
+namespace {
+using namespace std::chrono_literals;
+
+core::Time unix_now() { return std::chrono::system_clock::now().time_since_epoch(); }
+
+double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
+
+// Clients hold a third of the descriptors at the most; what is left over is for listeners, files and the
+// like.
+constexpr std::size_t kSpare = 48;
+std::size_t client_share(std::size_t sockets) { return sockets / 3 + 16; }
+std::size_t engine_share(std::size_t sockets) {
+  const auto clients = client_share(sockets) + kSpare;
+  return sockets > clients + 8 ? sockets - clients : 8;
+}
+
+net::Pool::Limits limits(const config::Config& config) {
+  net::Pool::Limits out;
+  out.most = engine_share(config.sockets);
+  out.dial_timeout = config.dial_timeout;
+  // Well before the engine closes it: a call must not cross the close.
+  out.idle_life = config.idle_close / 2;
+  return out;
+}
+}  // namespace
+
+Broker::Broker(ev::loop_ref loop, config::Config config)
+    : loop_(loop),
+      config_(std::move(config)),
+      reducer_(config_.settings, config_.seed),
+      engines_(loop, limits(config_), config_.names.class_names, config_.names.load_fields,
+               [this](core::Event e) { post(std::move(e)); }),
+      changelog_(loop, config_.changelog, config_.names, config_.known.seq,
+                 [this](core::Event e) { post(std::move(e)); }),
+      peers_(loop, config_, [this](core::Event e) { post(std::move(e)); }),
+      tick_(loop),
+      call_(loop),
+      prepare_(loop),
+      term_(loop),
+      interrupt_(loop) {
+  const auto at = net::parse_address(config_.listen);
+  if (!at) throw CannotStart("listen: is not an address with a port");
+  auto fd = net::listen_tcp(*at);
+  if (!fd) throw CannotStart("listen: " + config_.listen + ": " + std::strerror(errno));
+  front_ = std::make_unique<platform::Front>(
+      loop, std::move(fd), config_.names, client_share(config_.sockets), handles_,
+      [this] { return reducer_.lifecycle().green(); }, [this](core::Event e) { post(std::move(e)); });
+  for (auto& change : config_.known.changes) post(std::move(change));
+  post(core::Listening{});
+
+  tick_.set<Broker, &Broker::on_tick>(this);
+  call_.set<Broker, &Broker::on_call>(this);
+  prepare_.set<Broker, &Broker::on_prepare>(this);
+  term_.set<Broker, &Broker::on_signal>(this);
+  interrupt_.set<Broker, &Broker::on_signal>(this);
+}
+
+void Broker::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  term_.start(SIGTERM);
+  interrupt_.start(SIGINT);
+  tick_.start(0, seconds(core::Reducer::kTick));
+  prepare_.start();
+  loop_.run(0);
+}
+
+void Broker::on_tick(ev::timer&, int) {
+  const auto now = unix_now();
+  engines_.tick(now);
+  changelog_.tick(now);
+  post(core::Tick{front_->unwritten()});
+}
+
+void Broker::on_call(ev::timer&, int) { post(core::Tick{front_->unwritten()}); }
+
+void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
+
+// Before the loop sleeps: all that has happened in this turn of it.
+void Broker::on_prepare(ev::prepare&, int) {
+  do {
+    pump();
+    engines_.settle();
+    front_->settle();
+  } while (!events_.empty());
+  const auto due = reducer_.next_call();
+  if (!due) return;
+  call_.start(std::max(0.0, seconds(*due - unix_now())) + 1e-5, 0);
+}
+
+void Broker::pump() {
+  while (!events_.empty()) {
+    auto event = std::move(events_.front());
+    events_.pop_front();
+    effects_.clear();
+    reducer_.reduce(unix_now(), std::move(event), effects_);
+    for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
+  }
+}
+
+void Broker::run(const core::Answer& effect) { front_->run(effect); }
+
+void Broker::run(const core::Log& effect) {
+  std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
+}
+
+void Broker::run(const core::Exit&) { loop_.break_loop(ev::ALL); }
+
+}  // namespace bellstair::app
--- /dev/null
+++ b/src/app/broker.hpp
@@ -0,0 +1,62 @@
+// The program on its loop: events from the fronts, engines, change log and peers go through the reducer, and
+// each effect that it asks for to whom it concerns.
+#pragma once
+
+#include <ev++.h>
+
+#include <deque>
+#include <memory>
+
+#include "config/config.hpp"
+#include "core/reducer.hpp"
+#include "platform/changelog.hpp"
+#include "platform/engines.hpp"
+#include "platform/front.hpp"
+#include "platform/peers.hpp"
+
+namespace bellstair::app {
+
+struct CannotStart : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+class Broker {
+ public:
+  Broker(ev::loop_ref loop, config::Config config);
+  void run();  // until it has stopped
+
+ private:
+  void post(core::Event event) { events_.push_back(std::move(event)); }
+  void on_tick(ev::timer& timer, int events);
+  void on_call(ev::timer& timer, int events);
+  void on_prepare(ev::prepare& prepare, int events);
+  void on_signal(ev::sig& signal, int events);
+  void pump();
+
+  void run(const core::Answer& effect);
+  void run(const core::StartAttempt& effect) { engines_.run(effect); }
+  void run(core::Transmit& effect) { engines_.run(effect); }
+  void run(const core::Abandon& effect) { engines_.run(effect); }
+  void run(const core::Reprioritize& effect) { engines_.run(effect); }
+  void run(const core::ProbeEngine& effect) { engines_.run(effect); }
+  void run(const core::EngineMoved& effect) { engines_.run(effect); }
+  void run(const core::TellPeers& effect) { peers_.run(effect); }
+  void run(const core::Log& effect);
+  void run(const core::Exit&);
+
+  ev::loop_ref loop_;
+  config::Config config_;
+  std::uint64_t handles_ = 0;
+  std::deque<core::Event> events_;
+  core::Effects effects_;
+  core::Reducer reducer_;
+  platform::Engines engines_;
+  std::unique_ptr<platform::Front> front_;
+  platform::ChangeLog changelog_;
+  platform::Peers peers_;
+  ev::timer tick_, call_;
+  ev::prepare prepare_;
+  ev::sig term_, interrupt_;
+};
+
+}  // namespace bellstair::app
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,186 @@
+#include "config/config.hpp"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+#include "wire.hpp"
+
+namespace bellstair::config {
+namespace {
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+[[noreturn]] void bad(const std::string& field, const char* what) { throw Invalid(field + ": " + what); }
+
+const json& need(const json& in, const char* key) {
+  const auto found = in.find(key);
+  if (found == in.end() || found->is_null()) bad(key, "is missing");
+  return *found;
+}
+
+std::string text(const json& value, const char* key) {
+  if (!value.is_string()) bad(key, "is not a text");
+  return value.get<std::string>();
+}
+
+std::string text_or_none(const json& in, const char* key) {
+  const auto found = in.find(key);
+  return found == in.end() || found->is_null() ? std::string() : text(*found, key);
+}
+
+std::uint64_t whole(const json& value, const char* key) {
+  if (!value.is_number_unsigned()) bad(key, "is not a whole number of 0 or more");
+  return value.get<std::uint64_t>();
+}
+
+const json& object(const json& value, const char* key) {
+  if (!value.is_object()) bad(key, "is not an object");
+  return value;
+}
+
+const json& list(const json& value, const char* key) {
+  if (!value.is_array()) bad(key, "is not a list");
+  return value;
+}
+
+template <class Number>
+std::optional<Number> parse_hex(std::string_view digits) {
+  Number value = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), value, 16);
+  if (digits.empty() || error != std::errc() || end != digits.data() + digits.size()) return std::nullopt;
+  return value;
+}
+
+// The same number for an engine at every broker, since brokers name engines to one another by it.
+heronwell::EngineId engine_id(std::string_view name) {
+  const auto dash = name.rfind('-');
+  if (dash != std::string_view::npos && name.size() - dash == 9) {
+    if (const auto id = parse_hex<std::uint32_t>(name.substr(dash + 1))) return *id;
+  }
+  std::uint32_t hash = 2166136261U;  // FNV-1a
+  for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 16777619U;
+  return hash;
+}
+
+core::Member parse_member(const json& in, const Names& names) {
+  object(in, "servers[]");
+  core::Member out;
+  out.entry.engine = engine_id(text(need(in, "id"), "servers[].id"));
+  const auto state = text(need(in, "state"), "servers[].state");
+  out.entry.state = state == "in_service"    ? heronwell::EngineState::ready
+                    : state == "terminating" ? heronwell::EngineState::draining
+                    : state == "terminated"
+                        ? heronwell::EngineState::gone
+                        : (bad("servers[].state", "holds an unknown word"), heronwell::EngineState::gone);
+  out.address = text_or_none(in, "addr");
+  if (out.address.empty() && out.entry.state != heronwell::EngineState::gone)
+    bad("servers[].addr", "is missing");
+  const auto index = [](const auto& map, const std::string& key) {
+    const auto found = map.find(key);
+    return found == map.end() ? static_cast<std::uint16_t>(0) : static_cast<std::uint16_t>(found->second);
+  };
+  out.entry.zone = index(names.zones, text_or_none(in, "zone"));
+  const auto kind = text_or_none(in, "kind");
+  if (!kind.empty() && !names.kinds.contains(kind)) bad("servers[].kind", "is in no settings");
+  out.entry.kind = index(names.kinds, kind);
+  if (const auto cell = in.find("cell"); cell != in.end() && cell->is_number_unsigned())
+    out.entry.cell = cell->get<std::uint16_t>();
+  if (const auto weight = in.find("weight"); weight != in.end() && weight->is_number())
+    out.entry.weight = weight->get<double>();
+  if (const auto started = in.find("started_ms"); started != in.end() && started->is_number())
+    out.entry.last_start = std::chrono::milliseconds(started->get<std::int64_t>());
+  return out;
+}
+
+Changes parse_changes(const json& in, const Names& names) {
+  object(in, "changes");
+  Changes out;
+  out.seq = whole(need(in, "seq"), "seq");
+  for (const json& result : list(need(in, "results"), "results")) {
+    object(result, "results[]");
+    const auto fleet = result.find("fleet");
+    if (fleet == result.end()) continue;  // other kinds of events are of no concern here
+    core::FleetChange change;
+    if (const auto full = object(*fleet, "fleet").find("full"); full != fleet->end() && full->is_boolean())
+      change.full = full->get<bool>();
+    for (const json& server : list(need(*fleet, "servers"), "servers"))
+      change.members.push_back(parse_member(server, names));
+    out.changes.push_back(std::move(change));
+  }
+  return out;
+}
+
+Names parse_names(const json& settings) {
+  Names out;
+  const auto fill = [&](const char* key, auto& map, bool named) {
+    const auto found = settings.find(key);
+    if (found == settings.end() || found->is_null()) return;
+    for (const json& item : list(*found, key)) {
+      const auto index = static_cast<std::uint16_t>(map.size());
+      map[named ? text(need(object(item, key), "name"), key) : text(item, key)] = index;
+    }
+  };
+  fill("classes", out.classes, true);
+  fill("tenants", out.tenants, true);
+  fill("zones", out.zones, false);
+  fill("kinds", out.kinds, false);
+  out.class_names.resize(out.classes.size());
+  for (const auto& [name, index] : out.classes) out.class_names[index] = name;
+  if (const auto report = settings.find("report"); report != settings.end() && report->is_object()) {
+    if (const auto fields = report->find("fields"); fields != report->end()) {
+      for (const json& field : list(*fields, "report.fields"))
+        out.load_fields.push_back(text(field, "report.fields"));
+    }
+  }
+  return out;
+}
+
+json parse_json(std::string_view in, const char* what) {
+  json out = json::parse(in, nullptr, false);
+  if (out.is_discarded() || !out.is_object()) bad(what, "is not a JSON object");
+  return out;
+}
+}  // namespace
+
+Config parse(std::string_view in) {
+  const json all = parse_json(in, "configuration");
+  Config out;
+  out.name = text_or_none(all, "name");
+  out.listen = text(need(all, "listen"), "listen");
+  out.changelog = text(need(all, "changelog"), "changelog");
+  out.peer_listen = text_or_none(all, "peer_listen");
+  out.peers_all = text_or_none(all, "peers_all");
+  if (const auto peers = all.find("peers"); peers != all.end() && !peers->is_null()) {
+    for (const json& peer : list(*peers, "peers")) out.peers.push_back(text(peer, "peers[]"));
+  }
+  const auto seed = parse_hex<std::uint64_t>(text(need(all, "seed"), "seed"));
+  if (!seed) bad("seed", "is not a number in hex digits");
+  out.seed = *seed;
+  if (const auto limits = all.find("limits"); limits != all.end()) {
+    if (const auto sockets = object(*limits, "limits").find("sockets"); sockets != limits->end())
+      out.sockets = whole(*sockets, "limits.sockets");
+  }
+  const json& settings = object(need(all, "settings"), "settings");
+  try {
+    out.settings = heronwell::wire::settings_from(settings);
+  } catch (const std::exception& error) {
+    throw Invalid(error.what());
+  }
+  out.names = parse_names(settings);
+  const json& ceilings = object(need(settings, "ceilings"), "settings.ceilings");
+  const auto time_or = [&](const char* key, core::Time otherwise) {
+    const auto found = ceilings.find(key);
+    return found == ceilings.end() ? otherwise : core::Time(static_cast<std::int64_t>(whole(*found, key)));
+  };
+  out.dial_timeout = time_or("dial-timeout", 250ms);
+  out.idle_close = time_or("idle-close", 30s);
+  if (const auto known = all.find("known"); known != all.end() && !known->is_null())
+    out.known = parse_changes(*known, out.names);
+  return out;
+}
+
+Changes parse_changes(std::string_view in, const Names& names) {
+  return parse_changes(parse_json(in, "change log"), names);
+}
+
+}  // namespace bellstair::config
--- /dev/null
+++ b/src/config/config.hpp
@@ -0,0 +1,54 @@
+// What the program is told: the platform's JSON, read once into plain values.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/events.hpp"
+#include "heronwell/gateway.hpp"
+
+namespace bellstair::config {
+
+// The text names the field; one line.
+struct Invalid : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+// Names on the wire, to positions in the settings' lists.
+struct Names {
+  std::map<std::string, std::uint16_t, std::less<>> classes, zones, kinds;
+  std::map<std::string, std::uint32_t, std::less<>> tenants;
+  std::vector<std::string> class_names;
+  std::vector<std::string> load_fields;
+};
+
+// Events of the change log.
+struct Changes {
+  std::uint64_t seq = 0;
+  std::vector<core::FleetChange> changes;
+};
+
+struct Config {
+  std::string name, listen, changelog, peer_listen, peers_all;
+  std::vector<std::string> peers;
+  std::uint64_t seed = 0;
+  std::size_t sockets = 1024;
+  core::Time dial_timeout{}, idle_close{};
+  heronwell::Settings settings;
+  Names names;
+  Changes known;
+};
+
+[[nodiscard]] Config parse(std::string_view json);
+[[nodiscard]] Changes parse_changes(std::string_view json, const Names& names);
+
+// The program's own file, for what is off on the platform: `deploy/fronts.json` in this repository.
+struct MysqlUser {
+  std::string name, password, tenant;
+};
+
+}  // namespace bellstair::config
--- /dev/null
+++ b/src/core/events.hpp
@@ -0,0 +1,153 @@
+// What happens to the core, and what it asks for. Plain values: no sockets, no JSON, no HTTP, no SQL.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "heronwell/gateway.hpp"
+
+namespace bellstair::core {
+
+using heronwell::AttemptIndex;
+using heronwell::ClassIndex;
+using heronwell::EngineId;
+using heronwell::RequestId;
+using Time = std::chrono::nanoseconds;
+using Client = std::uint64_t;  // a front's handle for one request of one client
+
+struct AttemptId {
+  RequestId request = 0;
+  AttemptIndex index = 0;
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+// A request as a front has understood it. Bodies are opaque here.
+struct Submission {
+  Client client = 0;
+  ClassIndex cls = 0;
+  std::uint32_t tenant = 0;
+  std::uint64_t order_key = 0;  // 0: none
+  Time limit{};                 // the client waits for so long
+  std::optional<Time> cost;
+  double memory_mb = 0;
+  std::int64_t data_group = 0;
+  bool repeat = false;
+  std::string ticket;  // the client's id of the request
+  std::string nonce;   // its idempotency key, or none
+  std::string body;
+  std::string parameters;
+};
+
+struct Member {
+  heronwell::EngineEntry entry;
+  std::string address;
+};
+
+enum class AttemptEnd {
+  served,
+  error,          // it may have run
+  turned_away,    // it never ran
+  expired,        // it never ran: over before it began
+  not_connected,  // it never ran
+  reset,          // the connection broke: it may have run
+  withdrawn       // given up, and the engine has been told as far as it could be
+};
+
+// ---- events
+
+struct Listening {};  // the fronts accept connections
+struct FleetChange {
+  bool full = false;
+  std::vector<Member> members;
+  bool live = false;  // from the change log itself, not from what was known at the start
+};
+struct FleetQuiet {};  // the change log has nothing newer, or cannot be asked
+struct Arrived {
+  Submission asked;
+};
+struct Cancelled {  // the client has stopped waiting
+  Client client = 0;
+};
+struct AttemptReady {  // a connection is free for it; nothing has been written
+  AttemptId id;
+};
+struct AttemptEnded {
+  AttemptId id;
+  AttemptEnd end = AttemptEnd::error;
+  std::string body;  // the whole answer, if served
+  std::optional<Time> work;
+  double memory_mb = 0;
+  std::vector<double> load;
+};
+struct ProbeEnded {
+  EngineId engine = 0;
+  heronwell::Result result = heronwell::Result::served;
+  std::vector<double> load;
+};
+struct PeerHeard {
+  std::uint32_t from = 0;
+  std::string bytes;
+};
+struct StopAsked {};
+struct Tick {
+  bool unwritten = false;  // a front or engine driver still has something to write
+};
+
+using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptEnded,
+                           ProbeEnded, PeerHeard, StopAsked, Tick>;
+
+// ---- effects
+
+enum class AnswerKind { served, refused, failed, timed_out };
+struct Answer {  // the one final answer
+  Client client = 0;
+  AnswerKind kind = AnswerKind::failed;
+  Time pause{};  // refused: how long to stay away
+  std::string body;
+};
+struct StartAttempt {  // find a connection, then report AttemptReady
+  AttemptId id;
+  EngineId engine = 0;
+};
+struct Transmit {  // the first byte may leave now
+  AttemptId id;
+  ClassIndex cls = 0;
+  Time wait{};
+  double memory_mb = 0;
+  std::uint8_t priority = 1;
+  std::string ticket, nonce, body, parameters;
+};
+struct Abandon {  // ends with an AttemptEnded all the same
+  AttemptId id;
+};
+struct Reprioritize {
+  AttemptId id;
+  std::uint8_t priority = 1;
+};
+struct ProbeEngine {
+  EngineId engine = 0;
+};
+struct TellPeers {
+  std::optional<std::uint32_t> to;
+  std::string bytes;
+};
+struct EngineMoved {  // new, at another address, or no longer to be used
+  EngineId engine = 0;
+  std::string address;
+  bool usable = true;
+};
+struct Log {
+  std::string text;
+};
+struct Exit {};
+
+using Effect = std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers,
+                            EngineMoved, Log, Exit>;
+using Effects = std::vector<Effect>;
+
+}  // namespace bellstair::core
--- /dev/null
+++ b/src/core/lifecycle.hpp
@@ -0,0 +1,66 @@
+// The phases of the program, from start to exit.
+#pragma once
+
+#include <chrono>
+
+namespace bellstair::core {
+
+using Time = std::chrono::nanoseconds;
+
+enum class Phase { starting, serving, draining, stopping, exited };
+
+[[nodiscard]] constexpr const char* name(Phase phase) {
+  switch (phase) {
+    case Phase::starting:
+      return "starting";
+    case Phase::serving:
+      return "serving";
+    case Phase::draining:
+      return "draining";
+    case Phase::stopping:
+      return "stopping";
+    case Phase::exited:
+      return "exited";
+  }
+  return "?";
+}
+
+// starting -> serving once the fronts listen and an engine is known; any of both -> draining on a request to
+// stop; draining -> stopping once clients have had time to turn away and nothing taken is unanswered;
+// stopping -> exited once all that is left has been written.
+class Lifecycle {
+ public:
+  // After the request to stop, connections and requests go on coming for 0.7 s at the most.
+  static constexpr Time kLinger = std::chrono::milliseconds(800);
+  // What is left to write, and what engines still have to be told, gets this long.
+  static constexpr Time kFlush = std::chrono::milliseconds(300);
+
+  void listening() { listening_ = true; }
+  void fleet_known() { fleet_known_ = true; }
+  void stop(Time now) {
+    if (phase_ != Phase::starting && phase_ != Phase::serving) return;
+    phase_ = Phase::draining;
+    since_ = now;
+  }
+  // Moves on as far as what is unanswered (`owed`) and unwritten allows. True if the phase has changed.
+  bool advance(Time now, bool owed, bool unwritten) {
+    const Phase before = phase_;
+    if (phase_ == Phase::starting && listening_ && fleet_known_) phase_ = Phase::serving;
+    if (phase_ == Phase::draining && !owed && now >= since_ + kLinger) {
+      phase_ = Phase::stopping;
+      since_ = now;
+    }
+    if (phase_ == Phase::stopping && (!unwritten || now >= since_ + kFlush)) phase_ = Phase::exited;
+    return phase_ != before;
+  }
+
+  [[nodiscard]] Phase phase() const { return phase_; }
+  [[nodiscard]] bool green() const { return phase_ == Phase::serving; }
+
+ private:
+  Phase phase_ = Phase::starting;
+  bool listening_ = false, fleet_known_ = false;
+  Time since_{};
+};
+
+}  // namespace bellstair::core
--- /dev/null
+++ b/src/core/reducer.hpp
@@ -0,0 +1,104 @@
+// The one place where state changes: (state, event) -> effects. It drives the decision module and turns its
+// actions into effects. Knows no wire, and no clock but the one it is told.
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/events.hpp"
+#include "core/lifecycle.hpp"
+#include "core/wheel.hpp"
+#include "heronwell/gateway.hpp"
+
+namespace bellstair::core {
+
+class Reducer {
+ public:
+  static constexpr Time kTick = std::chrono::milliseconds(5);
+
+  Reducer(heronwell::Settings settings, std::uint64_t seed);
+
+  // `now` is Unix time; should the system's clock step back, time stands still here instead.
+  void reduce(Time now, Event event, Effects& out);
+
+  [[nodiscard]] const Lifecycle& lifecycle() const { return lifecycle_; }
+  // When the module is to be called next for what has happened already; none: it has heard all.
+  [[nodiscard]] std::optional<Time> next_call() const;
+  [[nodiscard]] std::size_t owed() const { return owed_; }  // requests without their final answer
+  [[nodiscard]] std::size_t held() const { return requests_.size(); }
+
+ private:
+  enum class Stage { waiting, out, leaving, over };  // for a connection; at the engine; given up; ended
+  struct Attempt {
+    EngineId engine = 0;
+    Stage stage = Stage::waiting;
+    Time begun{}, until{};
+    bool timed_out = false;
+    std::uint8_t priority = 1;
+  };
+  struct Request {
+    Submission asked;
+    Time deadline{};
+    bool answered = false;
+    double memory_mb = 0;
+    std::uint8_t priority = 1;
+    std::vector<Attempt> attempts;
+  };
+  struct Alarm {
+    enum class Kind { wake, attempt, deadline } kind = Kind::wake;
+    AttemptId id;
+  };
+
+  void on(const Listening&);
+  void on(FleetChange& change);
+  void on(const FleetQuiet&);
+  void on(Arrived& arrived);
+  void on(const Cancelled& cancelled);
+  void on(const AttemptReady& ready);
+  void on(AttemptEnded& ended);
+  void on(ProbeEnded& ended);
+  void on(PeerHeard& heard);
+  void on(const StopAsked&);
+  void on(const Tick& tick);
+  void on(const Alarm& alarm);
+
+  void act(const heronwell::Send& send);
+  void act(const heronwell::CallOff& off);
+  void act(const heronwell::Refuse& refuse);
+  void act(const heronwell::Fail& fail);
+  void act(const heronwell::Terms& terms);
+  void act(const heronwell::WakeAfter& wake);
+  void act(const heronwell::Probe& probe);
+  void act(heronwell::Tell& tell);
+  void act(const heronwell::Observe&) {}  // the change log is always asked
+  void act(heronwell::Trace& trace);
+
+  void consult();
+  void answer(Request& request, AnswerKind kind, Time pause, std::string body);
+  void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
+  void abandon(AttemptId id, Attempt& attempt, bool timed_out);
+  void forget_if_done(RequestId id);
+  Request* find(RequestId id);
+  Attempt* find(AttemptId id);
+  void put(Effect effect) { out_->push_back(std::move(effect)); }
+
+  heronwell::Settings settings_;
+  heronwell::Gateway gateway_;
+  Lifecycle lifecycle_;
+  TimerWheel<Alarm> wheel_{kTick};
+  std::unordered_map<RequestId, Request> requests_;
+  std::unordered_map<Client, RequestId> by_client_;
+  std::unordered_map<EngineId, Member> members_;
+  std::unordered_map<EngineId, std::vector<Time>> probes_;  // when each one that is out was sent
+  std::vector<heronwell::Event> news_;                      // for the module's next call
+  std::vector<heronwell::Action> actions_;
+  RequestId last_request_ = 0;
+  std::size_t owed_ = 0;
+  bool fleet_told_ = false;
+  Time now_{}, called_{};
+  Effects* out_ = nullptr;
+};
+
+}  // namespace bellstair::core
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,89 @@
+// The command line.
+#include <getopt.h>
+
+#include <cstdio>
+#include <cstdlib>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <string>
+
+#include "app/broker.hpp"
+#include "config/config.hpp"
+
+namespace {
+
+constexpr const char* kVersion = BELLSTAIR_VERSION;
+
+constexpr const char* kUsage =
+    "usage: bellstair COMMAND [OPTIONS]\n"
+    "\n"
+    "  serve         run one broker, in the foreground, until SIGTERM\n"
+    "  check-config  read the configuration, say what is wrong with it, and exit\n"
+    "  version       print the version\n"
+    "\n"
+    "  -c, --config FILE   the platform's configuration; by default what BALANCER_CONFIG names\n"
+    "  -h, --help          this text\n";
+
+struct Options {
+  std::string command, config;
+};
+
+[[noreturn]] void usage_error(const std::string& what) {
+  std::fprintf(stderr, "bellstair: %s; see 'bellstair --help'\n", what.c_str());
+  std::exit(2);
+}
+
+Options parse_options(int argc, char** argv) {
+  Options out;
+  if (const char* config = std::getenv("BALANCER_CONFIG")) out.config = config;
+  const option kOptions[] = {{"config", required_argument, nullptr, 'c'},
+                             {"help", no_argument, nullptr, 'h'},
+                             {nullptr, 0, nullptr, 0}};
+  for (int c = 0; (c = getopt_long(argc, argv, "c:h", kOptions, nullptr)) != -1;) {
+    if (c == 'c') out.config = optarg;
+    if (c == 'h') {
+      std::fputs(kUsage, stdout);
+      std::exit(0);
+    }
+    if (c == '?') std::exit(2);
+  }
+  if (optind >= argc) usage_error("no command");
+  out.command = argv[optind];
+  if (optind + 1 < argc)
+    usage_error(std::string("one command at a time, not '") + argv[optind + 1] + "' too");
+  return out;
+}
+
+std::string read_file(const std::string& path, const char* what) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream out;
+  if (path.empty() || !in || !(out << in.rdbuf()))
+    throw bellstair::config::Invalid(std::string(what) + ": cannot read '" + path + "'");
+  return out.str();
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const auto options = parse_options(argc, argv);
+  if (options.command == "version") {
+    std::printf("bellstair %s\n", kVersion);
+    return 0;
+  }
+  if (options.command != "serve" && options.command != "check-config")
+    usage_error("unknown command '" + options.command + "'");
+  try {
+    auto config = bellstair::config::parse(read_file(options.config, "configuration"));
+    if (options.command == "check-config") {
+      std::puts("the configuration is fine");
+      return 0;
+    }
+    ev::default_loop loop(0);
+    bellstair::app::Broker(loop, std::move(config)).run();
+    return 0;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "bellstair: %s\n", error.what());
+    return 1;
+  }
+}
--- /dev/null
+++ b/src/net/pool.hpp
@@ -0,0 +1,100 @@
+// Connections to engines, one call at a time on each, under one budget of descriptors for all engines.
+#pragma once
+
+#include <ev++.h>
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/wheel.hpp"
+#include "net/stream.hpp"
+
+namespace bellstair::net {
+
+using core::Time;
+
+// What a driver keeps with a connection of its own: a parser, a session.
+struct Session {
+  virtual ~Session() = default;
+};
+
+class Pool {
+ public:
+  struct Connection {
+    std::uint64_t serial = 0;
+    std::uint32_t engine = 0;
+    Stream stream;
+    bool idle = false, ready = false;  // ready: dialled, and greeted where the protocol asks for that
+    Time since{};
+    std::unique_ptr<Session> session;
+    std::function<void(std::string_view)> data;  // of the call that has it
+    std::function<void(bool clean)> lost;        // clean: its peer ended it in good form
+    Connection(ev::loop_ref loop, Fd fd, std::size_t most_unwritten)
+        : stream(loop, std::move(fd), true, most_unwritten) {}
+  };
+  // A connection, or none: it could not be made, and nothing has left for the engine.
+  using Taker = std::function<void(Connection*)>;
+  // Prepares a fresh connection and calls done(true) once calls may use it.
+  using Greeter = std::function<void(Connection&, std::function<void(bool)> done)>;
+
+  struct Limits {
+    std::size_t most = 512;  // connections, to all engines together
+    std::size_t most_unwritten = std::size_t{4} << 20;
+    Time dial_timeout{}, idle_life{};
+  };
+
+  Pool(ev::loop_ref loop, Limits limits, Greeter greeter = {});
+
+  void place(std::uint32_t engine, const std::string& address);  // where it listens now
+  void retire(std::uint32_t engine);                             // drop its idle connections; no new ones
+
+  // The taker is called later, never from within. 0 is no ticket.
+  std::uint64_t acquire(std::uint32_t engine, Taker taker);
+  void withdraw(std::uint32_t engine, std::uint64_t ticket);  // the taker is not called any more
+  void release(Connection& connection);                       // fit for another call
+  void discard(Connection& connection);
+  // Moves on what waits, and lets go of what is over. Call it once in each turn of the loop.
+  void settle();
+  void tick(Time now);
+
+  [[nodiscard]] std::size_t size() const { return connections_.size(); }
+
+ private:
+  struct Waiter {
+    std::uint64_t ticket = 0;
+    Taker taker;
+  };
+  struct Engine {
+    std::string address;
+    bool usable = false;
+    std::deque<Connection*> idle;  // the one used last at the back
+    std::deque<Waiter> waiting;
+    std::size_t dialling = 0;
+    std::size_t failures = 0;  // dials that failed, not yet told to a waiter
+  };
+
+  void dial(std::uint32_t id, Engine& engine);
+  void dialled(Connection& connection, bool well);
+  void hand_out(std::uint32_t id, Engine& engine);
+  bool make_room();
+  void remove(Connection& connection);
+
+  ev::loop_ref loop_;
+  Limits limits_;
+  Greeter greeter_;
+  std::unordered_map<std::uint32_t, Engine> engines_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::vector<std::unique_ptr<Connection>> gone_;  // freed once no handler of theirs can be running
+  core::TimerWheel<std::uint64_t> dials_{std::chrono::milliseconds(5)};
+  std::vector<std::uint32_t> stirred_;  // engines for which something may go on
+  std::uint64_t serial_ = 0, tickets_ = 0;
+  bool starved_ = false;  // a dial waits for a descriptor
+  Time now_{}, swept_{};
+};
+
+}  // namespace bellstair::net
--- /dev/null
+++ b/src/net/socket.cpp
@@ -0,0 +1,64 @@
+#include "net/socket.hpp"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <charconv>
+
+namespace bellstair::net {
+namespace {
+const sockaddr* any(const sockaddr_in& address) { return reinterpret_cast<const sockaddr*>(&address); }
+
+void set(int fd, int level, int option) {
+  const int on = 1;
+  ::setsockopt(fd, level, option, &on, sizeof on);
+}
+}  // namespace
+
+std::optional<sockaddr_in> parse_address(std::string_view text) {
+  const auto colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  sockaddr_in out{};
+  out.sin_family = AF_INET;
+  const std::string host(text.substr(0, colon));
+  const auto digits = text.substr(colon + 1);
+  std::uint16_t port = 0;
+  const auto [end, error] = std::from_chars(digits.data(), digits.data() + digits.size(), port);
+  if (error != std::errc() || digits.empty() || end != digits.data() + digits.size()) return std::nullopt;
+  if (::inet_pton(AF_INET, host.c_str(), &out.sin_addr) != 1) return std::nullopt;
+  out.sin_port = htons(port);
+  return out;
+}
+
+Fd listen_tcp(const sockaddr_in& at) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  set(fd.get(), SOL_SOCKET, SO_REUSEADDR);
+  if (::bind(fd.get(), any(at), sizeof at) != 0 || ::listen(fd.get(), 512) != 0) return {};
+  return fd;
+}
+
+Fd bind_udp(const sockaddr_in& at) {
+  Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (fd && ::bind(fd.get(), any(at), sizeof at) != 0) return {};
+  return fd;
+}
+
+Fd begin_connect(const sockaddr_in& to) {
+  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) return fd;
+  set(fd.get(), IPPROTO_TCP, TCP_NODELAY);
+  if (::connect(fd.get(), any(to), sizeof to) != 0 && errno != EINPROGRESS) return {};
+  return fd;
+}
+
+int connect_error(int fd) {
+  int error = 0;
+  socklen_t size = sizeof error;
+  if (::getsockopt(fd, SOL_SOCKET, SO_ERROR, &error, &size) != 0) return errno;
+  return error;
+}
+
+}  // namespace bellstair::net
--- /dev/null
+++ b/src/net/socket.hpp
@@ -0,0 +1,46 @@
+// Addresses and file descriptors.
+#pragma once
+
+#include <netinet/in.h>
+#include <unistd.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace bellstair::net {
+
+// "10.0.0.4:8080"; there are no names to look up here.
+[[nodiscard]] std::optional<sockaddr_in> parse_address(std::string_view text);
+
+class Fd {
+ public:
+  Fd() = default;
+  explicit Fd(int fd) : fd_(fd) {}
+  ~Fd() { reset(); }
+  Fd(Fd&& other) noexcept : fd_(std::exchange(other.fd_, -1)) {}
+  Fd& operator=(Fd&& other) noexcept {
+    if (this != &other) {
+      reset();
+      fd_ = std::exchange(other.fd_, -1);
+    }
+    return *this;
+  }
+  void reset() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+  }
+  [[nodiscard]] int get() const { return fd_; }
+  [[nodiscard]] explicit operator bool() const { return fd_ >= 0; }
+
+ private:
+  int fd_ = -1;
+};
+
+// All of these give non-blocking sockets; an empty Fd where the system says no (errno tells why).
+[[nodiscard]] Fd listen_tcp(const sockaddr_in& at);
+[[nodiscard]] Fd bind_udp(const sockaddr_in& at);
+[[nodiscard]] Fd begin_connect(const sockaddr_in& to);  // done once it is writable, see connect_error()
+[[nodiscard]] int connect_error(int fd);                // 0: connected
+
+}  // namespace bellstair::net
--- /dev/null
+++ b/src/net/stream.cpp
@@ -0,0 +1,149 @@
+#include "net/stream.hpp"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+
+namespace bellstair::net {
+
+Stream::Stream(ev::loop_ref loop, Fd fd, bool dialling, std::size_t most_unwritten)
+    : io_(loop), fd_(std::move(fd)), dialling_(dialling), most_unwritten_(most_unwritten) {
+  io_.set<Stream, &Stream::on_io>(this);
+  if (fd_) watch();
+}
+
+void Stream::watch() {
+  int events = 0;
+  if (!dialling_ && !paused_ && !ended_ && !failed_) events |= ev::READ;
+  if (dialling_ || unwritten() > 0 || failed_) events |= ev::WRITE;
+  if (events == 0) {
+    io_.stop();
+  } else if (!io_.is_active()) {
+    io_.start(fd_.get(), events);
+  } else if (io_.events != events) {
+    io_.set(events);
+  }
+}
+
+bool Stream::write(std::string_view bytes) {
+  if (!fd_ || failed_) return false;
+  if (unwritten() == 0 && !dialling_) {
+    const auto sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+      failed_ = true;  // told from the loop, since the caller is in the middle of something
+      watch();
+      return false;
+    }
+    if (sent > 0) {
+      written_ += static_cast<std::size_t>(sent);
+      bytes.remove_prefix(static_cast<std::size_t>(sent));
+    }
+  }
+  if (bytes.empty()) return true;
+  if (unwritten() + bytes.size() > most_unwritten_) {
+    failed_ = true;
+    watch();
+    return false;
+  }
+  out_.append(bytes);
+  watch();
+  return true;
+}
+
+void Stream::close() {
+  *alive_ = false;
+  alive_ = std::make_shared<bool>(true);
+  io_.stop();
+  fd_.reset();
+}
+
+void Stream::pause(bool on) {
+  paused_ = on;
+  if (fd_) watch();
+}
+
+bool Stream::stale() const {
+  char byte = 0;
+  const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got >= 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+void Stream::fail() {
+  io_.stop();
+  fd_.reset();
+  if (handlers_.closed) {
+    const auto closed = handlers_.closed;  // it may destroy this stream
+    closed();
+  }
+}
+
+void Stream::on_io(ev::io&, int events) {
+  if (failed_) return fail();
+  if (dialling_) {
+    if (connect_error(fd_.get()) != 0) return fail();
+    dialling_ = false;
+    const auto alive = alive_;
+    watch();
+    if (handlers_.connected) handlers_.connected();
+    if (!*alive) return;
+    if (unwritten() > 0) flush();
+    return;
+  }
+  const auto alive = alive_;
+  if ((events & ev::WRITE) != 0) flush();
+  if (!*alive || !fd_) return;
+  if ((events & ev::READ) != 0) read();
+}
+
+void Stream::read() {
+  static std::array<char, std::size_t{64} * 1024> buffer;  // one loop, one thread
+  const auto got = ::recv(fd_.get(), buffer.data(), buffer.size(), 0);
+  if (got > 0) {
+    if (handlers_.data) handlers_.data({buffer.data(), static_cast<std::size_t>(got)});
+    return;
+  }
+  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got < 0) return fail();
+  ended_ = true;
+  watch();
+  if (handlers_.ended) handlers_.ended();
+}
+
+void Stream::flush() {
+  while (unwritten() > 0) {
+    const auto sent = ::send(fd_.get(), out_.data() + out_at_, unwritten(), MSG_NOSIGNAL);
+    if (sent < 0) {
+      if (errno == EAGAIN || errno == EINTR) break;
+      return fail();
+    }
+    out_at_ += static_cast<std::size_t>(sent);
+    written_ += static_cast<std::size_t>(sent);
+  }
+  if (unwritten() == 0) {
+    out_.clear();
+    out_at_ = 0;
+    if (out_.capacity() > std::size_t{16} * 1024) out_.shrink_to_fit();
+  }
+  watch();
+  if (unwritten() == 0 && handlers_.drained) handlers_.drained();
+}
+
+Listener::Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted)
+    : io_(loop), fd_(std::move(fd)), accepted_(std::move(accepted)) {
+  io_.set<Listener, &Listener::on_io>(this);
+  io_.start(fd_.get(), ev::READ);
+}
+
+void Listener::on_io(ev::io&, int) {
+  for (int i = 0; i < 64; ++i) {
+    Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (!fd) return;
+    const int on = 1;
+    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    accepted_(std::move(fd));
+  }
+}
+
+}  // namespace bellstair::net
--- /dev/null
+++ b/src/net/stream.hpp
@@ -0,0 +1,74 @@
+// One TCP connection on the loop: bounded buffers, no blocking. What the bytes mean is its owner's business.
+#pragma once
+
+#include <ev++.h>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "net/socket.hpp"
+
+namespace bellstair::net {
+
+class Stream {
+ public:
+  struct Handlers {
+    std::function<void()> connected;             // for streams that dial
+    std::function<void(std::string_view)> data;  // whatever has come
+    std::function<void()> ended;                 // the peer writes no more; reading is over
+    std::function<void()> closed;                // broken, or never connected
+    std::function<void()> drained;               // all that was written has left; may be empty
+  };
+
+  Stream(ev::loop_ref loop, Fd fd, bool dialling, std::size_t most_unwritten);
+  Stream(const Stream&) = delete;
+  Stream& operator=(const Stream&) = delete;
+
+  void handle(Handlers handlers) { handlers_ = std::move(handlers); }
+  // False: it is broken or its peer does not read; `closed` follows from the loop, never from within.
+  bool write(std::string_view bytes);
+  // No handler is called any more; the descriptor is closed at once. Safe from within a handler.
+  void close();
+  void pause(bool on);  // stops or resumes reading
+
+  [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
+  [[nodiscard]] bool dialling() const { return dialling_; }
+  [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
+  [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
+  // For a stream at rest: true if the peer has closed it, or said something unasked.
+  [[nodiscard]] bool stale() const;
+
+ private:
+  void on_io(ev::io& watcher, int events);
+  void read();
+  void flush();
+  void fail();
+
+  ev::io io_;
+  Fd fd_;
+  bool dialling_, paused_ = false, ended_ = false, failed_ = false;
+  std::size_t most_unwritten_;
+  std::string out_;
+  std::size_t out_at_ = 0, written_ = 0;
+  Handlers handlers_;
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+
+  void watch();
+};
+
+// Accepts connections until told to stop; refuses to starve the program of descriptors.
+class Listener {
+ public:
+  Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted);
+
+ private:
+  void on_io(ev::io& watcher, int events);
+  ev::io io_;
+  Fd fd_;
+  std::function<void(Fd)> accepted_;
+};
+
+}  // namespace bellstair::net
--- /dev/null
+++ b/src/platform/changelog.cpp
@@ -0,0 +1,101 @@
+#include "platform/changelog.hpp"
+
+#include <cstdio>
+
+namespace bellstair::platform {
+namespace {
+using namespace std::chrono_literals;
+constexpr core::Time kRetry = 100ms;  // after a call that failed
+constexpr core::Time kDial = 250ms;
+constexpr unsigned kFailuresToServe = 5;
+constexpr auto kHold = 5000ms;                // the change log may hold a call for so long
+constexpr core::Time kPatience = kHold + 1s;  // beyond that its machine has vanished
+constexpr std::size_t kMostAnswer = std::size_t{4} << 20;
+}  // namespace
+
+ChangeLog::ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
+                     Post post)
+    : loop_(loop),
+      address_(std::move(address)),
+      names_(names),
+      since_(since),
+      post_(std::move(post)),
+      reader_(kMostAnswer),
+      waiting_(true) {}
+
+void ChangeLog::tick(core::Time now) {
+  now_ = now;
+  old_.reset();
+  if (waiting_) {
+    if (now >= next_try_) dial();
+  } else if (now >= patience_) {
+    lost();
+  }
+}
+
+void ChangeLog::dial() {
+  waiting_ = false;
+  patience_ = now_ + kDial;
+  const auto at = net::parse_address(address_);
+  auto fd = at ? net::begin_connect(*at) : net::Fd();
+  if (!fd) return lost();
+  stream_ = std::make_unique<net::Stream>(loop_, std::move(fd), true, std::size_t{64} * 1024);
+  stream_->handle({
+      .connected = [this] { ask(); },
+      .data =
+          [this](std::string_view bytes) {
+            if (!reader_.feed(bytes)) return lost();
+            if (reader_.complete()) answered();
+          },
+      .ended = [this] { reader_.finish() ? answered() : lost(); },
+      .closed = [this] { lost(); },
+      .drained = {},
+  });
+}
+
+void ChangeLog::ask() {
+  reader_.expect();
+  patience_ = now_ + kPatience;
+  const auto hold = first_ ? 0ms : kHold;
+  stream_->write(http_call(
+      "GET", "/changes?since=" + std::to_string(since_) + "&timeout=" + std::to_string(hold.count()),
+      address_, {}, {}));
+}
+
+void ChangeLog::answered() {
+  const auto answer = reader_.take();
+  if (answer.status != 200) return lost();
+  try {
+    auto news = config::parse_changes(answer.body, names_);
+    if (news.changes.empty()) post_(core::FleetQuiet{});
+    for (auto& change : news.changes) {
+      change.live = true;
+      post_(std::move(change));
+    }
+    since_ = std::max(since_, news.seq);
+    first_ = false;
+  } catch (const config::Invalid& error) {
+    std::fprintf(stderr, "bellstair: change log: %s\n", error.what());
+    return lost();
+  }
+  if (!answer.keep_alive || !stream_->open()) {
+    next_try_ = {};  // nothing went wrong: ask anew at once
+    old_ = std::move(stream_);
+    old_->close();
+    return dial();
+  }
+  ask();
+}
+
+void ChangeLog::lost() {
+  if (stream_) {
+    stream_->close();
+    old_ = std::move(stream_);  // one of its handlers may be running
+  }
+  waiting_ = true;
+  next_try_ = now_ + kRetry;
+  // A broker that has just started serves on what it was told until the change log can be asked.
+  if (first_ && ++failures_ == kFailuresToServe) post_(core::FleetQuiet{});
+}
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/changelog.hpp
@@ -0,0 +1,43 @@
+// The change log: a long poll that is always out.
+#pragma once
+
+#include <ev++.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "config/config.hpp"
+#include "core/events.hpp"
+#include "net/stream.hpp"
+#include "platform/http.hpp"
+
+namespace bellstair::platform {
+
+class ChangeLog {
+ public:
+  using Post = std::function<void(core::Event)>;
+  ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
+            Post post);
+  void tick(core::Time now);
+
+ private:
+  void dial();
+  void ask();
+  void answered();
+  void lost();
+
+  ev::loop_ref loop_;
+  std::string address_;
+  const config::Names& names_;
+  std::uint64_t since_;
+  Post post_;
+  std::unique_ptr<net::Stream> stream_, old_;
+  HttpReader reader_;
+  bool first_ = true;     // the first call asks without waiting
+  bool waiting_ = false;  // for the next try
+  unsigned failures_ = 0;
+  core::Time now_{}, next_try_{}, patience_{};
+};
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/engines.cpp
@@ -0,0 +1,333 @@
+#include "platform/engines.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace bellstair::platform {
+namespace {
+using namespace std::chrono_literals;
+using core::AttemptEnd;
+using core::AttemptId;
+
+constexpr std::size_t kMostPage = std::size_t{256} * 1024;
+constexpr std::size_t kMostPages = 4096;
+constexpr std::size_t kMostResult = std::size_t{4} << 20;
+// An engine answers within 250 ms, if only that there is no news; a query unasked for 2 s dies. A call that
+// hears nothing for so long is made again on another connection while there is time.
+constexpr core::Time kSilence = 1200ms;
+constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
+constexpr int kReconnects = 2;
+
+struct HttpSession : net::Session {
+  HttpReader reader{kMostPage};
+};
+
+std::string path_of(const std::string& ticket) { return "/v1/store/" + ticket; }
+}  // namespace
+
+Engines::Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
+                 std::vector<std::string> load_fields, Post post)
+    : pool_(loop, limits),
+      class_names_(std::move(class_names)),
+      load_fields_(std::move(load_fields)),
+      post_(std::move(post)) {}
+
+std::string Engines::host(core::EngineId engine) const {
+  const auto found = addresses_.find(engine);
+  return found == addresses_.end() ? std::string() : found->second;
+}
+
+// ---- calls
+
+std::uint64_t Engines::call(Connection& connection, const std::string& bytes, core::Time patience,
+                            Done done) {
+  const auto serial = ++serial_;
+  if (!connection.session) connection.session = std::make_unique<HttpSession>();
+  auto& reader = static_cast<HttpSession&>(*connection.session).reader;
+  reader.expect();
+  calls_[serial] = {&connection, connection.stream.written(), std::move(done)};
+  connection.data = [this, serial, &reader](std::string_view in) {
+    if (!reader.feed(in)) return finish(serial, End::broken);
+    if (reader.complete()) finish(serial, End::answered);
+  };
+  connection.lost = [this, serial, &reader](bool clean) {
+    finish(serial, clean && reader.finish() ? End::answered : End::broken);
+  };
+  if (patience > core::Time::zero()) patience_.arm(now_ + patience, serial);
+  connection.stream.write(bytes);  // if it fails, `lost` follows
+  return serial;
+}
+
+void Engines::finish(std::uint64_t serial, End end) {
+  const auto found = calls_.find(serial);
+  if (found == calls_.end()) return;
+  const auto call = std::move(found->second);
+  calls_.erase(found);
+  auto& connection = *call.connection;
+  auto& reader = static_cast<HttpSession&>(*connection.session).reader;
+  HttpAnswer answer;
+  if (end == End::answered) answer = reader.take();
+  if (end == End::broken && connection.stream.written() == call.before) end = End::unsent;
+  const bool fit = end == End::answered && answer.keep_alive && connection.stream.open();
+  connection.data = nullptr;
+  connection.lost = nullptr;
+  if (!fit) pool_.discard(connection);
+  call.done(end, answer);
+}
+
+void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Done done) {
+  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, done = std::move(done)](Connection* c) {
+    HttpAnswer none;
+    if (c == nullptr) return done(End::not_connected, none);
+    call(*c, bytes, patience, [this, c, done](End end, HttpAnswer& answer) {
+      if (end == End::answered && answer.keep_alive && c->stream.open()) pool_.release(*c);
+      done(end, answer);
+    });
+  });
+}
+
+void Engines::tick(core::Time now) {
+  now_ = now;
+  pool_.tick(now);
+  patience_.advance(now, [this](std::uint64_t serial) { finish(serial, End::silent); });
+}
+
+// ---- effects
+
+void Engines::run(const core::StartAttempt& effect) {
+  const auto id = effect.id;
+  auto& attempt = attempts_[id];
+  attempt.engine = effect.engine;
+  attempt.result.id = id;
+  attempt.ticket = pool_.acquire(effect.engine, [this, id](Connection* connection) {
+    const auto found = attempts_.find(id);
+    if (connection == nullptr) return end(id, AttemptEnd::not_connected);
+    found->second.connection = connection;
+    found->second.stage = Stage::ready;
+    connection->lost = [this, id, connection](bool) {
+      attempts_.at(id).connection = nullptr;
+      pool_.discard(*connection);
+    };
+    post_(core::AttemptReady{id});
+  });
+}
+
+void Engines::run(core::Transmit& effect) {
+  const auto found = attempts_.find(effect.id);
+  if (found == attempts_.end() || found->second.stage != Stage::ready) return;
+  auto& attempt = found->second;
+  if (attempt.connection == nullptr) return end(effect.id, AttemptEnd::expired);
+  HttpHeaders headers;
+  headers.emplace_back("X-Ticket", effect.ticket);
+  headers.emplace_back("X-Queue", class_names_.at(effect.cls));
+  headers.emplace_back("X-Max-Ms", std::to_string(std::max<std::int64_t>(1, effect.wait / 1ms)));
+  if (!effect.nonce.empty()) headers.emplace_back("X-Nonce", effect.nonce);
+  if (effect.memory_mb >= 1)
+    headers.emplace_back("Query-Memory", std::to_string(std::llround(effect.memory_mb)));
+  headers.emplace_back("Query-Priority", std::to_string(effect.priority));
+  attempt.stage = Stage::posted;
+  attempt.query = path_of(effect.ticket);
+  const auto id = effect.id;
+  attempt.call =
+      call(*attempt.connection, http_call("POST", "/v1/store", host(attempt.engine), headers, effect.body),
+           core::Time::zero(), [this, id](End end, HttpAnswer& answer) { answered(id, end, answer); });
+}
+
+void Engines::run(const core::Abandon& effect) {
+  const auto found = attempts_.find(effect.id);
+  if (found == attempts_.end()) return;
+  auto& attempt = found->second;
+  switch (attempt.stage) {
+    case Stage::waiting:
+      pool_.withdraw(attempt.engine, attempt.ticket);
+      return end(effect.id, AttemptEnd::expired);
+    case Stage::ready:
+      if (attempt.connection != nullptr) pool_.release(*attempt.connection);
+      attempt.connection = nullptr;
+      return end(effect.id, AttemptEnd::expired);
+    case Stage::posted:
+      // A DELETE on another connection could overtake the statement, which would then run unasked: the
+      // engine's first word, at most 250 ms away, proves that it has come whole.
+      attempt.stage = Stage::leaving;
+      if (attempt.connection->stream.unwritten() > 0) {
+        pool_.discard(*attempt.connection);  // the engine never gets it whole
+        calls_.erase(attempt.call);
+        return end(effect.id, AttemptEnd::withdrawn);
+      }
+      patience_.arm(now_ + kAside, attempt.call);
+      return;
+    case Stage::paging:
+      return end(effect.id, AttemptEnd::withdrawn);  // it has ended there
+    case Stage::polling:
+      return give_up(effect.id);
+    case Stage::leaving:
+    case Stage::deleting:
+      return;
+  }
+}
+
+void Engines::give_up(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  attempt.stage = Stage::deleting;
+  aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
+        [this, id](End, HttpAnswer&) { end(id, AttemptEnd::withdrawn); });
+}
+
+void Engines::run(const core::Reprioritize& effect) {
+  const auto found = attempts_.find(effect.id);
+  if (found == attempts_.end()) return;
+  auto& attempt = found->second;
+  if (attempt.stage == Stage::posted) attempt.rank = effect.priority;
+  if (attempt.stage != Stage::polling) return;
+  aside(attempt.engine,
+        http_call("PUT", attempt.query, host(attempt.engine), {}, std::to_string(effect.priority)), kAside,
+        [](End, HttpAnswer&) {});
+}
+
+void Engines::run(const core::ProbeEngine& effect) {
+  const auto engine = effect.engine;
+  aside(engine, http_call("GET", "/-/gauges", host(engine), {}, {}), kAside,
+        [this, engine](End end, HttpAnswer& answer) {
+          core::ProbeEnded probe{engine, heronwell::Result::served, {}};
+          switch (end) {
+            case End::answered:
+              if (answer.status != 200) probe.result = heronwell::Result::turned_away;
+              take_load(answer, probe.load);
+              break;
+            case End::not_connected:
+              probe.result = heronwell::Result::not_connected;
+              break;
+            case End::unsent:
+            case End::broken:
+              probe.result = heronwell::Result::reset;
+              break;
+            case End::silent:
+              probe.result = heronwell::Result::timed_out;
+              break;
+          }
+          post_(std::move(probe));
+        });
+}
+
+void Engines::run(const core::EngineMoved& effect) {
+  if (!effect.usable) return pool_.retire(effect.engine);
+  addresses_[effect.engine] = effect.address;
+  pool_.place(effect.engine, effect.address);
+}
+
+// ---- an attempt's way
+
+void Engines::answered(AttemptId id, End how, HttpAnswer& answer) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  auto& attempt = found->second;
+  const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
+  if (how != End::answered || !answer.keep_alive || !attempt.connection->stream.open())
+    attempt.connection = nullptr;                // it is gone
+  if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
+  if (how != End::answered) {
+    if (attempt.stage == Stage::leaving) return give_up(id);
+    // Once a byte of a statement has left, it may have run, and is never sent again from here.
+    if (posting) return end(id, how == End::unsent ? AttemptEnd::expired : AttemptEnd::reset);
+    return reconnect(id);
+  }
+  attempt.reconnects = 0;
+  take_load(answer, attempt.result.load);
+  if (answer.status == 202) {
+    if (attempt.stage == Stage::leaving) return give_up(id);
+    attempt.stage = Stage::polling;
+    if (attempt.rank) run(core::Reprioritize{id, *std::exchange(attempt.rank, std::nullopt)});
+    return ask(id);
+  }
+  if (answer.status == 200) {
+    auto& result = attempt.result;
+    if (attempt.next_page == 0) {
+      const double pages = answer.number("result-pages").value_or(1);
+      if (pages < 1 || pages > kMostPages || pages != std::floor(pages)) return end(id, AttemptEnd::error);
+      attempt.pages = static_cast<std::size_t>(pages);
+      if (const auto cost = answer.number("query-cost"))
+        result.work = core::Time(static_cast<std::int64_t>(*cost * 1e6));
+      result.memory_mb = answer.number("query-need").value_or(0);
+    } else if (answer.number("result-page").value_or(-1) != static_cast<double>(attempt.next_page)) {
+      return end(id, AttemptEnd::error);
+    }
+    result.body += answer.body;
+    if (result.body.size() > kMostResult) return end(id, AttemptEnd::error);
+    if (++attempt.next_page == attempt.pages) return end(id, AttemptEnd::served);
+    if (attempt.stage == Stage::leaving) return end(id, AttemptEnd::withdrawn);
+    attempt.stage = Stage::paging;
+    return ask(id);
+  }
+  // Only the mark proves that nothing ran; whoever else writes a 503 proves nothing.
+  const bool never_ran = answer.header("x-shed") == "1" && attempt.next_page == 0;
+  if (never_ran && answer.status == 503) return end(id, AttemptEnd::turned_away);
+  if (never_ran && answer.status == 504) return end(id, AttemptEnd::expired);
+  end(id, AttemptEnd::error);
+}
+
+void Engines::ask(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  if (attempt.connection == nullptr) return reconnect(id);
+  const auto page = attempt.stage == Stage::paging ? attempt.next_page : 0;
+  call(*attempt.connection,
+       http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}), kSilence,
+       [this, id](End how, HttpAnswer& answer) { answered(id, how, answer); });
+}
+
+// News and pages may be asked for again: asking does nothing to the query.
+void Engines::reconnect(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  if (++attempt.reconnects > kReconnects) return end(id, AttemptEnd::reset);
+  pool_.acquire(attempt.engine, [this, id](Connection* connection) {
+    const auto found = attempts_.find(id);
+    const bool wanted = found != attempts_.end() &&
+                        (found->second.stage == Stage::polling || found->second.stage == Stage::paging);
+    if (!wanted) {
+      if (connection != nullptr) pool_.release(*connection);
+      return;
+    }
+    if (connection == nullptr) return end(id, AttemptEnd::reset);
+    found->second.connection = connection;
+    ask(id);
+  });
+}
+
+void Engines::end(AttemptId id, AttemptEnd how) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  auto attempt = std::move(found->second);
+  attempts_.erase(found);
+  if (auto* connection = attempt.connection; connection != nullptr && connection->stream.open()) {
+    // A call that is still out on it ends by itself, and frees the connection then.
+    const auto out =
+        std::ranges::find_if(calls_, [&](const auto& c) { return c.second.connection == connection; });
+    if (out == calls_.end()) {
+      pool_.release(*connection);
+    } else {
+      patience_.arm(now_ + kSilence, out->first);
+      out->second.done = [this, connection](End end, HttpAnswer& answer) {
+        if (end == End::answered && answer.keep_alive && connection->stream.open())
+          pool_.release(*connection);
+      };
+    }
+  }
+  attempt.result.end = how;
+  if (how != AttemptEnd::served) attempt.result.body.clear();
+  post_(std::move(attempt.result));
+}
+
+void Engines::take_load(const HttpAnswer& answer, std::vector<double>& load) const {
+  const auto text = answer.header("x-meter");
+  if (text.empty()) return;
+  const auto values = parse_meter(text);
+  std::vector<double> out;
+  for (const auto& field : load_fields_) {
+    const auto found = values.find(field);
+    if (found == values.end()) return;
+    out.push_back(found->second);
+  }
+  load = std::move(out);
+}
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/engines.hpp
@@ -0,0 +1,86 @@
+// Engines that speak HTTP: starts queries, asks for their news until they end, fetches their pages.
+#pragma once
+
+#include <ev++.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/events.hpp"
+#include "net/pool.hpp"
+#include "platform/http.hpp"
+
+namespace bellstair::platform {
+
+class Engines {
+ public:
+  using Post = std::function<void(core::Event)>;
+
+  Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
+          std::vector<std::string> load_fields, Post post);
+
+  void run(const core::StartAttempt& effect);
+  void run(core::Transmit& effect);
+  void run(const core::Abandon& effect);
+  void run(const core::Reprioritize& effect);
+  void run(const core::ProbeEngine& effect);
+  void run(const core::EngineMoved& effect);
+
+  void settle() { pool_.settle(); }
+  void tick(core::Time now);
+  [[nodiscard]] bool busy() const { return !attempts_.empty() || !calls_.empty(); }
+  [[nodiscard]] std::size_t connections() const { return pool_.size(); }
+
+ private:
+  using Connection = net::Pool::Connection;
+  // leaving: given up before the engine's first word; deleting: the engine is being told.
+  enum class Stage { waiting, ready, posted, polling, paging, leaving, deleting };
+  enum class End { answered, not_connected, unsent, broken, silent };
+  using Done = std::function<void(End, HttpAnswer&)>;
+
+  struct Attempt {
+    core::EngineId engine = 0;
+    Stage stage = Stage::waiting;
+    std::uint64_t ticket = 0;          // while it waits for a connection
+    Connection* connection = nullptr;  // its own, from POST to the last page
+    std::uint64_t call = 0;            // the one that starts it
+    std::string query;                 // its path at the engine
+    std::size_t next_page = 0, pages = 0;
+    int reconnects = 0;                // in a row, without an answer in between
+    std::optional<std::uint8_t> rank;  // a priority to be told once the engine knows the query
+    core::AttemptEnded result;
+  };
+  struct Call {
+    Connection* connection = nullptr;
+    std::size_t before = 0;  // bytes that had left on the connection when the call began
+    Done done;
+  };
+
+  std::uint64_t call(Connection& connection, const std::string& bytes, core::Time patience, Done done);
+  void finish(std::uint64_t serial, End end);
+  // A call on any connection of the engine's.
+  void aside(core::EngineId engine, std::string bytes, core::Time patience, Done done);
+
+  void answered(core::AttemptId id, End end, HttpAnswer& answer);
+  void ask(core::AttemptId id);  // for news, or for the next page
+  void reconnect(core::AttemptId id);
+  void end(core::AttemptId id, core::AttemptEnd how);
+  void give_up(core::AttemptId id);  // tells the engine
+  void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
+  std::string host(core::EngineId engine) const;
+
+  net::Pool pool_;
+  std::vector<std::string> class_names_, load_fields_;
+  Post post_;
+  std::map<core::AttemptId, Attempt> attempts_;
+  std::unordered_map<std::uint64_t, Call> calls_;
+  std::unordered_map<core::EngineId, std::string> addresses_;
+  core::TimerWheel<std::uint64_t> patience_{std::chrono::milliseconds(5)};
+  std::uint64_t serial_ = 0;
+  core::Time now_{};
+};
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/http.cpp
@@ -0,0 +1,131 @@
+#include "platform/http.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+
+namespace bellstair::platform {
+namespace {
+std::optional<double> parse_number(std::string_view text) {
+  double value = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
+    return std::nullopt;
+  return value;
+}
+}  // namespace
+
+std::string_view HttpAnswer::header(std::string_view name) const {
+  const auto found = headers.find(name);
+  return found == headers.end() ? std::string_view() : std::string_view(found->second);
+}
+
+std::optional<double> HttpAnswer::number(std::string_view name) const { return parse_number(header(name)); }
+
+std::string http_call(std::string_view method, std::string_view path, std::string_view host,
+                      const HttpHeaders& headers, std::string_view body) {
+  std::string out;
+  out.reserve(256 + body.size());
+  out.append(method).append(" ").append(path).append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+  for (const auto& [name, value] : headers) out.append(name).append(": ").append(value).append("\r\n");
+  if (!body.empty() || method == "POST" || method == "PUT")
+    out.append("Content-Length: ").append(std::to_string(body.size())).append("\r\n");
+  return out.append("\r\n").append(body);
+}
+
+const http_parser_settings& HttpReader::callbacks() {
+  static const http_parser_settings kCallbacks = [] {
+    http_parser_settings s{};
+    const auto self = [](http_parser* p) -> HttpReader& { return *static_cast<HttpReader*>(p->data); };
+    static const auto of = self;
+    s.on_header_field = [](http_parser* p, const char* at, std::size_t size) {
+      auto& r = of(p);
+      if (r.in_value_) r.keep_header();
+      r.field_.append(at, size);
+      return r.count(size) ? 0 : 1;
+    };
+    s.on_header_value = [](http_parser* p, const char* at, std::size_t size) {
+      auto& r = of(p);
+      r.in_value_ = true;
+      r.value_.append(at, size);
+      return r.count(size) ? 0 : 1;
+    };
+    s.on_headers_complete = [](http_parser* p) {
+      auto& r = of(p);
+      r.keep_header();
+      r.answer_.status = p->status_code;
+      return 0;
+    };
+    s.on_body = [](http_parser* p, const char* at, std::size_t size) {
+      auto& r = of(p);
+      if (r.answer_.body.size() + size > r.most_body_) return 1;
+      r.answer_.body.append(at, size);
+      return 0;
+    };
+    s.on_message_complete = [](http_parser* p) {
+      auto& r = of(p);
+      r.complete_ = true;
+      r.answer_.keep_alive = http_should_keep_alive(p) != 0;
+      http_parser_pause(p, 1);
+      return 0;
+    };
+    return s;
+  }();
+  return kCallbacks;
+}
+
+void HttpReader::expect() {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+  answer_ = {};
+  field_.clear();
+  value_.clear();
+  in_value_ = complete_ = begun_ = false;
+  header_bytes_ = 0;
+}
+
+bool HttpReader::feed(std::string_view bytes) {
+  if (complete_) return false;
+  begun_ = begun_ || !bytes.empty();
+  parser_.data = this;
+  const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  if (complete_) {
+    // http-parser stops on the last byte of a paused message; a byte more is one that nobody asked for.
+    return used + 1 >= bytes.size();
+  }
+  return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size();
+}
+
+bool HttpReader::finish() {
+  if (complete_ || !begun_) return false;
+  parser_.data = this;
+  http_parser_execute(&parser_, &callbacks(), nullptr, 0);
+  return complete_;
+}
+
+void HttpReader::keep_header() {
+  if (field_.empty()) return;
+  std::ranges::transform(field_, field_.begin(), [](unsigned char c) { return std::tolower(c); });
+  answer_.headers[field_] = value_;
+  field_.clear();
+  value_.clear();
+  in_value_ = false;
+}
+
+bool HttpReader::count(std::size_t bytes) { return (header_bytes_ += bytes) <= kMostHeaderBytes; }
+
+std::map<std::string, double, std::less<>> parse_meter(std::string_view text) {
+  std::map<std::string, double, std::less<>> out;
+  while (!text.empty()) {
+    const auto end = std::min(text.find(';'), text.size());
+    const auto part = text.substr(0, end);
+    text.remove_prefix(std::min(end + 1, text.size()));
+    const auto colon = part.find(':');
+    if (colon == std::string_view::npos) continue;
+    if (const auto value = parse_number(part.substr(colon + 1)))
+      out.insert_or_assign(std::string(part.substr(0, colon)), *value);
+  }
+  return out;
+}
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/peers.cpp
@@ -0,0 +1,55 @@
+#include "platform/peers.hpp"
+
+#include <sys/socket.h>
+
+#include <array>
+
+namespace bellstair::platform {
+namespace {
+constexpr std::size_t kMostBytes = 256;  // a longer datagram voids all
+}
+
+Peers::Peers(ev::loop_ref loop, const config::Config& config, Post post)
+    : io_(loop), all_(net::parse_address(config.peers_all)), me_(config.settings.me), post_(std::move(post)) {
+  for (const auto& peer : config.peers) peers_.push_back(net::parse_address(peer).value_or(sockaddr_in{}));
+  const auto at = net::parse_address(config.peer_listen);
+  if (!at) return;
+  fd_ = net::bind_udp(*at);
+  if (!fd_) return;
+  io_.set<Peers, &Peers::on_io>(this);
+  io_.start(fd_.get(), ev::READ);
+}
+
+void Peers::run(const core::TellPeers& effect) {
+  if (!fd_ || effect.bytes.size() > kMostBytes) return;
+  const auto send = [&](const sockaddr_in& to) {
+    ::sendto(fd_.get(), effect.bytes.data(), effect.bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL,
+             reinterpret_cast<const sockaddr*>(&to), sizeof to);  // lost is lost
+  };
+  if (!effect.to) {
+    if (all_) send(*all_);
+  } else if (*effect.to < peers_.size() && *effect.to != me_) {
+    send(peers_[*effect.to]);
+  }
+}
+
+void Peers::on_io(ev::io&, int) {
+  std::array<char, kMostBytes + 1> buffer{};
+  for (int i = 0; i < 64; ++i) {
+    sockaddr_in from{};
+    socklen_t size = sizeof from;
+    const auto got = ::recvfrom(fd_.get(), buffer.data(), buffer.size(), MSG_DONTWAIT,
+                                reinterpret_cast<sockaddr*>(&from), &size);
+    if (got < 0) return;
+    if (static_cast<std::size_t>(got) > kMostBytes) continue;
+    for (std::size_t n = 0; n < peers_.size(); ++n) {
+      if (n == me_ || peers_[n].sin_addr.s_addr != from.sin_addr.s_addr ||
+          peers_[n].sin_port != from.sin_port)
+        continue;
+      post_(core::PeerHeard{static_cast<std::uint32_t>(n), {buffer.data(), static_cast<std::size_t>(got)}});
+      break;
+    }
+  }
+}
+
+}  // namespace bellstair::platform
--- /dev/null
+++ b/src/platform/peers.hpp
@@ -0,0 +1,31 @@
+// Datagrams between brokers.
+#pragma once
+
+#include <ev++.h>
+
+#include <functional>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/events.hpp"
+#include "net/socket.hpp"
+
+namespace bellstair::platform {
+
+class Peers {
+ public:
+  using Post = std::function<void(core::Event)>;
+  Peers(ev::loop_ref loop, const config::Config& config, Post post);
+  void run(const core::TellPeers& effect);
+
+ private:
+  void on_io(ev::io& watcher, int events);
+  ev::io io_;
+  net::Fd fd_;
+  std::vector<sockaddr_in> peers_;
+  std::optional<sockaddr_in> all_;
+  std::size_t me_;
+  Post post_;
+};
+
+}  // namespace bellstair::platform
--- a/src/wire.cpp
+++ b/src/wire.cpp
@@ -427,8 +427,9 @@
 
 }  // namespace
 
-Settings parse_settings(std::string_view text) {
-  const json in = json::parse(text, nullptr, false);
+Settings parse_settings(std::string_view text) { return settings_from(json::parse(text, nullptr, false)); }
+
+Settings settings_from(const json& in) {
   if (in.is_discarded() || !in.is_object()) throw Malformed("settings: not a JSON object");
   Settings out;
   out.gateways = whole<unsigned>(need(in, "balancers"), "balancers");
--- a/src/wire.hpp
+++ b/src/wire.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <span>
 #include <stdexcept>
 #include <string>
@@ -41,6 +42,7 @@
 inline constexpr std::size_t kMostFrameBytes = std::size_t{1} << 30;
 
 [[nodiscard]] Settings parse_settings(std::string_view json);
+[[nodiscard]] Settings settings_from(const nlohmann::json& in);
 [[nodiscard]] std::size_t frame_length(std::span<const std::uint8_t> first_bytes);
 
 // Reads batches; keeps the numbered engine lists, which belong to no instance.
