--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -5,6 +5,9 @@
 #include <cstdio>
 #include <cstring>
 
+#include "mysql/engines.hpp"
+#include "platform/engines.hpp"
+
 namespace bellstair::app {
 namespace {
 using namespace std::chrono_literals;
@@ -30,29 +33,57 @@
   out.idle_life = config.idle_close / 2;
   return out;
 }
+
+net::Fd listen(const std::string& address, const char* field) {
+  const auto at = net::parse_address(address);
+  if (!at) throw CannotStart(std::string(field) + ": is not an address with a port");
+  auto fd = net::listen_tcp(*at);
+  if (!fd) throw CannotStart(std::string(field) + ": " + address + ": " + std::strerror(errno));
+  std::fprintf(stderr, "bellstair: %s on %s\n", field, net::local_address(fd.get()).c_str());
+  return fd;
+}
 }  // namespace
 
-Broker::Broker(ev::loop_ref loop, config::Config config)
+net::Post Broker::poster() {
+  return [this](core::Event event) { post(std::move(event)); };
+}
+
+std::unique_ptr<net::EngineDriver> Broker::make_engines() {
+  const auto& names = config_.names;
+  if (fronts_.mysql_engines)
+    return std::make_unique<mysql::Engines>(loop_, limits(config_), *fronts_.mysql_engines, names.class_names,
+                                            poster());
+  return std::make_unique<platform::Engines>(loop_, limits(config_), names.class_names, names.load_fields,
+                                             poster());
+}
+
+bool Broker::unwritten() const { return front_->unwritten() || (mysql_ && mysql_->unwritten()); }
+
+Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts)
     : loop_(loop),
       config_(std::move(config)),
+      fronts_(std::move(fronts)),
       reducer_(config_.settings, config_.seed),
-      engines_(loop, limits(config_), config_.names.class_names, config_.names.load_fields,
-               [this](core::Event e) { post(std::move(e)); }),
-      changelog_(loop, config_.changelog, config_.names, config_.known.seq,
-                 [this](core::Event e) { post(std::move(e)); }),
-      peers_(loop, config_, [this](core::Event e) { post(std::move(e)); }),
+      engines_(make_engines()),
+      changelog_(loop, config_.changelog, config_.names, config_.known.seq, poster()),
+      peers_(loop, config_, poster()),
       tick_(loop),
       call_(loop),
       prepare_(loop),
       term_(loop),
       interrupt_(loop) {
-  const auto at = net::parse_address(config_.listen);
-  if (!at) throw CannotStart("listen: is not an address with a port");
-  auto fd = net::listen_tcp(*at);
-  if (!fd) throw CannotStart("listen: " + config_.listen + ": " + std::strerror(errno));
+  const auto share = client_share(config_.sockets);
   front_ = std::make_unique<platform::Front>(
-      loop, std::move(fd), config_.names, client_share(config_.sockets), handles_,
-      [this] { return reducer_.lifecycle().green(); }, [this](core::Event e) { post(std::move(e)); });
+      loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
+      [this] { return reducer_.lifecycle().green(); }, poster());
+  if (fronts_.mysql) {
+    mysql::Front::Options options;
+    options.most_connections = share / 2;
+    options.escaped_rows = fronts_.mysql_engines.has_value();
+    mysql_ = std::make_unique<mysql::Front>(loop, listen(fronts_.mysql->listen, "mysql.listen"),
+                                            *fronts_.mysql, config_.names, config_.settings,
+                                            std::move(options), handles_, config_.seed, poster());
+  }
   for (auto& change : config_.known.changes) post(std::move(change));
   post(core::Listening{});
 
@@ -74,12 +105,13 @@
 
 void Broker::on_tick(ev::timer&, int) {
   const auto now = unix_now();
-  engines_.tick(now);
+  engines_->tick(now);
+  if (mysql_) mysql_->tick(now);
   changelog_.tick(now);
-  post(core::Tick{front_->unwritten()});
+  post(core::Tick{unwritten()});
 }
 
-void Broker::on_call(ev::timer&, int) { post(core::Tick{front_->unwritten()}); }
+void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
 
@@ -87,8 +119,9 @@
 void Broker::on_prepare(ev::prepare&, int) {
   do {
     pump();
-    engines_.settle();
+    engines_->settle();
     front_->settle();
+    if (mysql_) mysql_->settle();
   } while (!events_.empty());
   const auto due = reducer_.next_call();
   if (!due) return;
@@ -105,7 +138,9 @@
   }
 }
 
-void Broker::run(const core::Answer& effect) { front_->run(effect); }
+void Broker::run(const core::Answer& effect) {
+  if (!front_->run(effect) && mysql_) mysql_->run(effect);
+}
 
 void Broker::run(const core::Log& effect) {
   std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -8,9 +8,11 @@
 #include <memory>
 
 #include "config/config.hpp"
+#include "config/fronts.hpp"
 #include "core/reducer.hpp"
+#include "mysql/front.hpp"
+#include "net/driver.hpp"
 #include "platform/changelog.hpp"
-#include "platform/engines.hpp"
 #include "platform/front.hpp"
 #include "platform/peers.hpp"
 
@@ -22,7 +24,7 @@
 
 class Broker {
  public:
-  Broker(ev::loop_ref loop, config::Config config);
+  Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts);
   void run();  // until it has stopped
 
  private:
@@ -32,26 +34,31 @@
   void on_prepare(ev::prepare& prepare, int events);
   void on_signal(ev::sig& signal, int events);
   void pump();
+  [[nodiscard]] net::Post poster();
+  [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
+  [[nodiscard]] bool unwritten() const;
 
   void run(const core::Answer& effect);
-  void run(const core::StartAttempt& effect) { engines_.run(effect); }
-  void run(core::Transmit& effect) { engines_.run(effect); }
-  void run(const core::Abandon& effect) { engines_.run(effect); }
-  void run(const core::Reprioritize& effect) { engines_.run(effect); }
-  void run(const core::ProbeEngine& effect) { engines_.run(effect); }
-  void run(const core::EngineMoved& effect) { engines_.run(effect); }
+  void run(const core::StartAttempt& effect) { engines_->run(effect); }
+  void run(core::Transmit& effect) { engines_->run(effect); }
+  void run(const core::Abandon& effect) { engines_->run(effect); }
+  void run(const core::Reprioritize& effect) { engines_->run(effect); }
+  void run(const core::ProbeEngine& effect) { engines_->run(effect); }
+  void run(const core::EngineMoved& effect) { engines_->run(effect); }
   void run(const core::TellPeers& effect) { peers_.run(effect); }
   void run(const core::Log& effect);
   void run(const core::Exit&);
 
   ev::loop_ref loop_;
   config::Config config_;
+  config::Fronts fronts_;
   std::uint64_t handles_ = 0;
   std::deque<core::Event> events_;
   core::Effects effects_;
   core::Reducer reducer_;
-  platform::Engines engines_;
+  std::unique_ptr<net::EngineDriver> engines_;
   std::unique_ptr<platform::Front> front_;
+  std::unique_ptr<mysql::Front> mysql_;  // off on the platform
   platform::ChangeLog changelog_;
   platform::Peers peers_;
   ev::timer tick_, call_;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -46,9 +46,4 @@
 [[nodiscard]] Config parse(std::string_view json);
 [[nodiscard]] Changes parse_changes(std::string_view json, const Names& names);
 
-// The program's own file, for what is off on the platform: `deploy/fronts.json` in this repository.
-struct MysqlUser {
-  std::string name, password, tenant;
-};
-
 }  // namespace bellstair::config
--- /dev/null
+++ b/src/config/read.cpp
@@ -0,0 +1,45 @@
+#include "config/read.hpp"
+
+namespace bellstair::config {
+
+using nlohmann::json;
+
+void bad(const std::string& field, const char* what) { throw Invalid(field + ": " + what); }
+
+const json& need(const json& in, const char* key) {
+  const auto found = in.find(key);
+  if (found == in.end() || found->is_null()) bad(key, "is missing");
+  return *found;
+}
+
+std::string text(const json& value, const char* key) {
+  if (!value.is_string()) bad(key, "is not a text");
+  return value.get<std::string>();
+}
+
+std::string text_or_none(const json& in, const char* key) {
+  const auto found = in.find(key);
+  return found == in.end() || found->is_null() ? std::string() : text(*found, key);
+}
+
+std::uint64_t whole(const json& value, const char* key) {
+  if (!value.is_number_unsigned()) bad(key, "is not a whole number of 0 or more");
+  return value.get<std::uint64_t>();
+}
+
+const json& object(const json& value, const char* key) {
+  if (!value.is_object()) bad(key, "is not an object");
+  return value;
+}
+
+const json& list(const json& value, const char* key) {
+  if (!value.is_array()) bad(key, "is not a list");
+  return value;
+}
+
+json parse_json(std::string_view in, const char* what) {
+  json out = json::parse(in, nullptr, false);
+  if (out.is_discarded() || !out.is_object()) bad(what, "is not a JSON object");
+  return out;
+}
+}  // namespace bellstair::config
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -41,6 +41,7 @@
   std::string nonce;   // its idempotency key, or none
   std::string body;
   std::string parameters;
+  std::optional<Time> barred;  // refused at admission: how long to stay away
 };
 
 struct Member {
@@ -79,7 +80,8 @@
 struct AttemptEnded {
   AttemptId id;
   AttemptEnd end = AttemptEnd::error;
-  std::string body;  // the whole answer, if served
+  std::string body;   // the whole answer, if served; else what the engine said, if anything
+  std::string shape;  // beside the body, where an engine tells one; opaque too
   std::optional<Time> work;
   double memory_mb = 0;
   std::vector<double> load;
@@ -107,8 +109,9 @@
 struct Answer {  // the one final answer
   Client client = 0;
   AnswerKind kind = AnswerKind::failed;
-  Time pause{};  // refused: how long to stay away
-  std::string body;
+  Time pause{};       // refused: how long to stay away
+  std::string body;   // served: the answer; else what an engine said last, if anything
+  std::string shape;  // served: as the engine told it
 };
 struct StartAttempt {  // find a connection, then report AttemptReady
   AttemptId id;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -121,9 +121,9 @@
 
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
+  if (asked.barred) return put(Answer{asked.client, AnswerKind::refused, *asked.barred, {}, {}});
   if (settings_.max_open != 0 && owed_ >= settings_.max_open) {
-    put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}});
-    return;
+    return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
   const auto id = ++last_request_;
   heronwell::Arrival arrival;
@@ -195,7 +195,8 @@
     outcome.memory_mb = told->memory_mb;
     outcome.load = std::move(told->load);
     if (result == Result::served && !request.answered)
-      answer(request, AnswerKind::served, Time::zero(), std::move(told->body));
+      answer(request, AnswerKind::served, Time::zero(), std::move(told->body), std::move(told->shape));
+    if (result != Result::served && !told->body.empty()) request.last_word = std::move(told->body);
   }
   outcome.closed = request.answered;
   news_.push_back(std::move(outcome));
@@ -318,11 +319,12 @@
 void Reducer::act(heronwell::Tell& tell) { put(TellPeers{tell.to, std::move(tell.bytes)}); }
 void Reducer::act(heronwell::Trace& trace) { put(Log{std::move(trace.text)}); }
 
-void Reducer::answer(Request& request, AnswerKind kind, Time pause, std::string body) {
+void Reducer::answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape) {
+  if (kind != AnswerKind::served) body = request.last_word;
   request.answered = true;
   by_client_.erase(request.asked.client);
   --owed_;
-  put(Answer{request.asked.client, kind, pause, std::move(body)});
+  put(Answer{request.asked.client, kind, pause, std::move(body), std::move(shape)});
 }
 
 void Reducer::forget_if_done(RequestId id) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -45,6 +45,7 @@
     double memory_mb = 0;
     std::uint8_t priority = 1;
     std::vector<Attempt> attempts;
+    std::string last_word;  // of an engine on why an attempt failed
   };
   struct Alarm {
     enum class Kind { wake, attempt, deadline } kind = Kind::wake;
@@ -76,7 +77,7 @@
   void act(heronwell::Trace& trace);
 
   void consult();
-  void answer(Request& request, AnswerKind kind, Time pause, std::string body);
+  void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
   void forget_if_done(RequestId id);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 
 #include "app/broker.hpp"
 #include "config/config.hpp"
+#include "config/fronts.hpp"
 
 namespace {
 
@@ -23,10 +24,12 @@
     "  version       print the version\n"
     "\n"
     "  -c, --config FILE   the platform's configuration; by default what BALANCER_CONFIG names\n"
+    "  -f, --fronts FILE   what is off on the platform: MySQL, plug-ins, directories; by default nothing is "
+    "on\n"
     "  -h, --help          this text\n";
 
 struct Options {
-  std::string command, config;
+  std::string command, config, fronts;
 };
 
 [[noreturn]] void usage_error(const std::string& what) {
@@ -38,10 +41,12 @@
   Options out;
   if (const char* config = std::getenv("BALANCER_CONFIG")) out.config = config;
   const option kOptions[] = {{"config", required_argument, nullptr, 'c'},
+                             {"fronts", required_argument, nullptr, 'f'},
                              {"help", no_argument, nullptr, 'h'},
                              {nullptr, 0, nullptr, 0}};
-  for (int c = 0; (c = getopt_long(argc, argv, "c:h", kOptions, nullptr)) != -1;) {
+  for (int c = 0; (c = getopt_long(argc, argv, "c:f:h", kOptions, nullptr)) != -1;) {
     if (c == 'c') out.config = optarg;
+    if (c == 'f') out.fronts = optarg;
     if (c == 'h') {
       std::fputs(kUsage, stdout);
       std::exit(0);
@@ -75,12 +80,15 @@
     usage_error("unknown command '" + options.command + "'");
   try {
     auto config = bellstair::config::parse(read_file(options.config, "configuration"));
+    bellstair::config::Fronts fronts;
+    if (!options.fronts.empty())
+      fronts = bellstair::config::parse_fronts(read_file(options.fronts, "fronts"), config.names);
     if (options.command == "check-config") {
       std::puts("the configuration is fine");
       return 0;
     }
     ev::default_loop loop(0);
-    bellstair::app::Broker(loop, std::move(config)).run();
+    bellstair::app::Broker(loop, std::move(config), std::move(fronts)).run();
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "bellstair: %s\n", error.what());
--- /dev/null
+++ b/src/mysql/front.hpp
@@ -0,0 +1,114 @@
+// The second front: clients that speak the MySQL protocol, with prepared statements.
+#pragma once
+
+#include <ev++.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "config/fronts.hpp"
+#include "core/events.hpp"
+#include "core/wheel.hpp"
+#include "mysql/mapping.hpp"
+#include "mysql/packet.hpp"
+#include "net/stream.hpp"
+
+namespace bellstair::mysql {
+
+// Where users are looked up that the front's own file does not name.
+struct Verdict {
+  enum class Kind { granted, denied, unavailable } kind = Kind::denied;
+  std::uint32_t tenant = 0;
+};
+using Lookup = std::function<void(const std::string& user, const std::string& password,
+                                  std::function<void(Verdict)> done)>;
+
+class Front {
+ public:
+  using Post = std::function<void(core::Event)>;
+  struct Options {
+    std::size_t most_connections = 256;
+    bool escaped_rows = false;  // see read_rows()
+    Lookup lookup;              // empty: no directory
+  };
+  Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config, const config::Names& names,
+        const heronwell::Settings& settings, Options options, std::uint64_t& handles, std::uint64_t seed,
+        Post post);
+
+  bool run(const core::Answer& answer);  // false: the client is not one of this front's
+  void settle() { gone_.clear(); }
+  void tick(core::Time now);
+  [[nodiscard]] bool unwritten() const;
+
+ private:
+  static constexpr std::size_t kMostPacket = std::size_t{1} << 20;
+  static constexpr std::size_t kMostUnwritten = std::size_t{16} << 20;
+  static constexpr std::size_t kMostStatements = 1024;  // prepared, on one connection
+
+  enum class Phase { login, switched, clear_password, looked_up, idle, running };
+  struct Statement {
+    std::string text;
+    std::size_t parameters = 0;
+    ParameterTypes types;
+  };
+  struct Connection {
+    std::uint64_t serial = 0;
+    net::Stream stream;
+    PacketReader reader{kMostPacket};
+    Phase phase = Phase::login;
+    std::string nonce, user;
+    std::uint32_t capabilities = 0, tenant = 0;
+    std::uint8_t sequence = 0;
+    bool taking = false, closing = false;
+    core::Client client = 0;  // while one of its statements runs
+    bool binary = false;      // it was prepared
+    bool reads = false;
+    std::map<std::uint32_t, Statement> statements;
+    std::uint32_t last_statement = 0;
+    Connection(ev::loop_ref loop, net::Fd fd) : stream(loop, std::move(fd), false, kMostUnwritten) {}
+    [[nodiscard]] bool attributes() const { return (capabilities & kQueryAttributes) != 0; }
+  };
+
+  void accept(net::Fd fd);
+  void take(Connection& connection);
+  void take(Connection& connection, const Packet& packet);
+  void log_in(Connection& connection, const std::string& payload);
+  void check_password(Connection& connection, const std::string& answer, const std::string& plugin);
+  void look_up(Connection& connection, const std::string& password);
+  void let_in(Connection& connection, std::uint32_t tenant);
+  void command(Connection& connection, const std::string& payload);
+  void prepare(Connection& connection, std::string text);
+  void execute(Connection& connection, const std::string& payload);
+  void start(Connection& connection, std::string_view text, const std::vector<sql::Value>& values,
+             const std::vector<Attribute>& attributes, bool binary);
+  void write_result(Connection& connection, const core::Answer& answer);
+
+  void send(Connection& connection, std::string_view payload);
+  void send_error(Connection& connection, const Error& error);
+  void refuse(Connection& connection, const Error& error);  // and close
+  void close(Connection& connection);
+
+  ev::loop_ref loop_;
+  const config::MysqlFront& config_;
+  const config::Names& names_;
+  const heronwell::Settings& settings_;
+  Options options_;
+  std::uint64_t& handles_;
+  std::mt19937_64 tickets_;
+  Post post_;
+  net::Listener listener_;
+  std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
+  std::unordered_map<core::Client, std::uint64_t> running_;
+  std::vector<std::unique_ptr<Connection>> gone_;
+  core::TimerWheel<std::uint64_t> logins_{std::chrono::milliseconds(5)};
+  std::uint64_t serial_ = 0;
+  core::Time now_{};
+};
+
+}  // namespace bellstair::mysql
--- /dev/null
+++ b/src/mysql/mapping.hpp
@@ -0,0 +1,33 @@
+// How a statement of a MySQL client becomes a request: the documented mapping (README, "MySQL clients").
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/config.hpp"
+#include "core/events.hpp"
+#include "mysql/packet.hpp"
+#include "sql/value.hpp"
+
+namespace bellstair::mysql {
+
+// Codes from 50000 up are the protocol's own range for others than the server's makers.
+inline constexpr std::uint16_t kRefused = 50001, kFailed = 50002, kTimedOut = 50003;
+inline constexpr std::uint16_t kAccessDenied = 1045, kUnknownCommand = 1047, kEmptyQuery = 1065,
+                               kTooLarge = 1153, kWrongArguments = 1210, kUnknownStatement = 1243,
+                               kDirectoryDown = 1429, kMalformedPacket = 1835;
+
+struct Refusal {  // thrown: the statement can't become a request
+  Error error;
+};
+
+// Throws Refusal. The client handle and the ticket are the caller's to fill in.
+[[nodiscard]] core::Submission map_statement(std::string_view statement,
+                                             const std::vector<sql::Value>& values,
+                                             const std::vector<Attribute>& attributes, std::uint32_t tenant,
+                                             const config::Names& names, const heronwell::Settings& settings);
+
+[[nodiscard]] Error error_of(const core::Answer& answer);
+
+}  // namespace bellstair::mysql
--- /dev/null
+++ b/src/net/driver.hpp
@@ -0,0 +1,25 @@
+// What runs the core's effects on engines, whatever they speak, and reports how attempts end.
+#pragma once
+
+#include <functional>
+
+#include "core/events.hpp"
+
+namespace bellstair::net {
+
+using Post = std::function<void(core::Event)>;
+
+class EngineDriver {
+ public:
+  virtual ~EngineDriver() = default;
+  virtual void run(const core::StartAttempt& effect) = 0;
+  virtual void run(core::Transmit& effect) = 0;
+  virtual void run(const core::Abandon& effect) = 0;
+  virtual void run(const core::Reprioritize& effect) = 0;
+  virtual void run(const core::ProbeEngine& effect) = 0;
+  virtual void run(const core::EngineMoved& effect) = 0;
+  virtual void settle() = 0;  // once in each turn of the loop
+  virtual void tick(core::Time now) = 0;
+};
+
+}  // namespace bellstair::net
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -101,25 +101,31 @@
           },
       .data =
           [this, &connection](std::string_view bytes) {
-            if (connection.data) return connection.data(bytes);
-            remove(connection);  // nobody asked
+            if (!connection.data) return remove(connection);  // nobody asked
+            const auto data = connection.data;                // it may be replaced from within
+            data(bytes);
           },
       .ended =
           [this, &connection] {
             if (!connection.ready) return dialled(connection, false);
-            if (connection.lost) return connection.lost(true);
-            remove(connection);
+            lose(connection, true);
           },
       .closed =
           [this, &connection] {
             if (!connection.ready) return dialled(connection, false);
-            if (connection.lost) return connection.lost(false);
-            remove(connection);
+            lose(connection, false);
           },
       .drained = {},
   });
 }
 
+void Pool::lose(Connection& connection, bool clean) {
+  if (!connection.lost) return remove(connection);
+  const auto lost = std::move(connection.lost);
+  connection.lost = nullptr;
+  lost(clean);
+}
+
 void Pool::dialled(Connection& connection, bool well) {
   auto& engine = engines_[connection.engine];
   if (!well) {
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -80,6 +80,7 @@
 
   void dial(std::uint32_t id, Engine& engine);
   void dialled(Connection& connection, bool well);
+  void lose(Connection& connection, bool clean);
   void hand_out(std::uint32_t id, Engine& engine);
   bool make_room();
   void remove(Connection& connection);
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdio>
+
+#include "sql/value.hpp"
 
 namespace bellstair::platform {
 namespace {
@@ -27,7 +28,7 @@
 }  // namespace
 
 Engines::Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
-                 std::vector<std::string> load_fields, Post post)
+                 std::vector<std::string> load_fields, net::Post post)
     : pool_(loop, limits),
       class_names_(std::move(class_names)),
       load_fields_(std::move(load_fields)),
@@ -126,6 +127,13 @@
   if (effect.memory_mb >= 1)
     headers.emplace_back("Query-Memory", std::to_string(std::llround(effect.memory_mb)));
   headers.emplace_back("Query-Priority", std::to_string(effect.priority));
+  if (!effect.parameters.empty()) {
+    // These engines take a statement as text: bound values become literals.
+    const auto values = sql::unpack(effect.parameters);
+    auto text = values ? sql::with_literals(effect.body, *values) : std::nullopt;
+    if (!text) return end(effect.id, AttemptEnd::error);
+    effect.body = std::move(*text);
+  }
   attempt.stage = Stage::posted;
   attempt.query = path_of(effect.ticket);
   const auto id = effect.id;
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -10,29 +10,26 @@
 #include <vector>
 
 #include "core/events.hpp"
+#include "net/driver.hpp"
 #include "net/pool.hpp"
 #include "platform/http.hpp"
 
 namespace bellstair::platform {
 
-class Engines {
+class Engines : public net::EngineDriver {
  public:
-  using Post = std::function<void(core::Event)>;
-
   Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
-          std::vector<std::string> load_fields, Post post);
+          std::vector<std::string> load_fields, net::Post post);
 
-  void run(const core::StartAttempt& effect);
-  void run(core::Transmit& effect);
-  void run(const core::Abandon& effect);
-  void run(const core::Reprioritize& effect);
-  void run(const core::ProbeEngine& effect);
-  void run(const core::EngineMoved& effect);
+  void run(const core::StartAttempt& effect) override;
+  void run(core::Transmit& effect) override;
+  void run(const core::Abandon& effect) override;
+  void run(const core::Reprioritize& effect) override;
+  void run(const core::ProbeEngine& effect) override;
+  void run(const core::EngineMoved& effect) override;
 
-  void settle() { pool_.settle(); }
-  void tick(core::Time now);
-  [[nodiscard]] bool busy() const { return !attempts_.empty() || !calls_.empty(); }
-  [[nodiscard]] std::size_t connections() const { return pool_.size(); }
+  void settle() override { pool_.settle(); }
+  void tick(core::Time now) override;
 
  private:
   using Connection = net::Pool::Connection;
@@ -74,7 +71,7 @@
 
   net::Pool pool_;
   std::vector<std::string> class_names_, load_fields_;
-  Post post_;
+  net::Post post_;
   std::map<core::AttemptId, Attempt> attempts_;
   std::unordered_map<std::uint64_t, Call> calls_;
   std::unordered_map<core::EngineId, std::string> addresses_;
--- a/src/sql/statement.cpp
+++ b/src/sql/statement.cpp
@@ -9,7 +9,7 @@
 namespace bellstair::sql {
 namespace {
 
-enum class Kind { name, quoted, text, dot, other, end };
+enum class Kind { name, quoted, text, dot, mark, other, end };
 struct Token {
   Kind kind = Kind::end;
   std::string_view text;  // without quotes
@@ -32,6 +32,7 @@
     if (c == '"') return {Kind::quoted, quoted(c)};  // a name or a text, as the dialect has it
     if (c == '`') return {Kind::name, quoted(c)};
     const auto begin = at_++;
+    if (c == '?') return {Kind::mark, in_.substr(begin, 1)};
     if (c == '.') return {Kind::dot, "."};
     if (!name_char(c)) return {Kind::other, in_.substr(begin, 1)};
     while (at_ < in_.size() && name_char(in_[at_])) ++at_;
@@ -100,6 +101,25 @@
 
 }  // namespace
 
+std::vector<std::size_t> placeholders(std::string_view statement) {
+  Scanner scanner(statement);
+  std::vector<std::size_t> out;
+  for (auto token = scanner.next(); token.kind != Kind::end; token = scanner.next()) {
+    if (token.kind == Kind::mark)
+      out.push_back(static_cast<std::size_t>(token.text.data() - statement.data()));
+  }
+  return out;
+}
+
+std::string first_word(std::string_view statement) {
+  Scanner scanner(statement);
+  auto token = scanner.next();
+  while (token.kind == Kind::other && token.text == "(") token = scanner.next();
+  std::string out(token.kind == Kind::name ? token.text : std::string_view());
+  std::ranges::transform(out, out.begin(), [](unsigned char c) { return std::tolower(c); });
+  return out;
+}
+
 std::int64_t table_group(std::string_view statement) {
   Scanner scanner(statement);
   std::optional<std::int64_t> elsewhere;  // the first in a place where a column or a function could stand too
--- a/src/sql/statement.hpp
+++ b/src/sql/statement.hpp
@@ -2,7 +2,9 @@
 #pragma once
 
 #include <cstdint>
+#include <string>
 #include <string_view>
+#include <vector>
 
 namespace bellstair::sql {
 
@@ -10,4 +12,10 @@
 // comments do not count, nor does the schema `staging`. 0: none is named.
 [[nodiscard]] std::int64_t table_group(std::string_view statement);
 
+// Where the question marks stand that bind values: not those in texts, names and comments.
+[[nodiscard]] std::vector<std::size_t> placeholders(std::string_view statement);
+
+// "select" for `(SELECT 1)`: what kind of statement it is, in lower case.
+[[nodiscard]] std::string first_word(std::string_view statement);
+
 }  // namespace bellstair::sql
--- /dev/null
+++ b/tests/codec_test.cpp
@@ -0,0 +1,168 @@
+// Codecs: pure, strict, and never the worse for bad input.
+#include <gtest/gtest.h>
+
+#include "mysql/mapping.hpp"
+#include "mysql/packet.hpp"
+#include "mysql/result.hpp"
+#include "platform/base64.hpp"
+#include "platform/http.hpp"
+#include "sql/statement.hpp"
+#include "sql/value.hpp"
+
+namespace bellstair {
+namespace {
+using namespace std::string_literals;
+
+TEST(Sql, TheGroupOfTablesIsTheSchemasNumber) {
+  EXPECT_EQ(sql::table_group("SELECT a FROM sales_17.orders"), 17);
+  EXPECT_EQ(sql::table_group("INSERT INTO `sales_4`.`orders` SELECT * FROM staging.rows_9"), 4);
+  EXPECT_EQ(sql::table_group("INSERT INTO staging.x_1 SELECT 1 FROM sales_8.t"), 8);
+  EXPECT_EQ(
+      sql::table_group("SELECT 'from sales_3.x' /* from sales_4.x */ -- from sales_5.x\n FROM sales_6.x"), 6);
+  EXPECT_EQ(sql::table_group("SELECT t_2.id FROM sales_7.orders t_2"), 7);
+  EXPECT_EQ(sql::table_group("SELECT 'it''s \\' sales_3.x', \"sales_4.y\" FROM \"sales_9\".\"x\""), 9);
+  EXPECT_EQ(sql::table_group("SELECT 1"), 0);
+  EXPECT_EQ(sql::table_group("SELECT 'unended from sales_3.x"), 0);
+}
+
+TEST(Sql, ValuesBecomeLiteralsOnlyWhereTheyAreBound) {
+  const std::vector<sql::Value> values{"it's\\"s, std::int64_t{-5}, sql::Null{}, sql::Bytes{"\x01\xff"}};
+  EXPECT_EQ(sql::with_literals("SELECT '?', ? /* ? */, ?, ?, ?", values),
+            "SELECT '?', 'it''s\\\\' /* ? */, -5, NULL, x'01ff'");
+  EXPECT_FALSE(sql::with_literals("SELECT ?", values));
+  EXPECT_EQ(sql::unpack(sql::pack(values)), values);
+  EXPECT_FALSE(sql::unpack(sql::pack(values) + "x"));
+  EXPECT_FALSE(sql::unpack(sql::pack(values).substr(0, 9)));
+}
+
+TEST(Base64, IsStrict) {
+  for (const auto& text : {""s, "a"s, "ab"s, "abc"s, "\0\xff\n"s})
+    EXPECT_EQ(platform::from_base64(platform::to_base64(text)), text);
+  for (const auto* bad : {"a", "ab=", "a===", "ab=c", " YWJj", "YWJj\n", "YW*j"})
+    EXPECT_FALSE(platform::from_base64(bad)) << bad;
+}
+
+TEST(Http, AnAnswerMayComeInPieces) {
+  const auto whole =
+      "HTTP/1.1 200 OK\r\nResult-Pages: 3\r\nX-Meter: a:1;b:x;c:0.5\r\nContent-Length: 4\r\n\r\na\tb\n"s;
+  platform::HttpReader reader(100);
+  for (const char c : whole) {
+    ASSERT_FALSE(reader.complete());
+    ASSERT_TRUE(reader.feed({&c, 1}));
+  }
+  ASSERT_TRUE(reader.complete());
+  const auto answer = reader.take();
+  EXPECT_EQ(answer.status, 200U);
+  EXPECT_EQ(answer.number("result-pages"), 3);
+  EXPECT_EQ(answer.body, "a\tb\n");
+  const auto meter = platform::parse_meter(answer.header("x-meter"));
+  EXPECT_EQ(meter.size(), 2U);
+  EXPECT_EQ(meter.at("c"), 0.5);
+}
+
+TEST(Http, WhatIsNoAnswerOrTooLargeOrTooMuchIsTold) {
+  for (const auto& bad :
+       {"nonsense\r\n\r\n"s, "HTTP/1.1 200 OK\r\nContent-Length: 101\r\n\r\n"s + std::string(101, 'x'),
+        "HTTP/1.1 204 x\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\n"s,
+        "HTTP/1.1 200 OK\r\nA: " + std::string(20000, 'x')}) {
+    platform::HttpReader reader(100);
+    EXPECT_FALSE(reader.feed(bad)) << bad.substr(0, 40);
+  }
+  platform::HttpReader cut(100);
+  EXPECT_TRUE(cut.feed("HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc"));
+  EXPECT_FALSE(cut.finish());  // cut half-way is no answer
+}
+
+// Bytes as the protocol's documentation prints them.
+TEST(MysqlPackets, KnownBytesAreReadAndWritten) {
+  EXPECT_EQ(mysql::frame(1, mysql::write_ok()), "\x07\x00\x00\x01\x00\x00\x00\x02\x00\x00\x00"s);
+  EXPECT_EQ(mysql::frame(5, mysql::write_eof()), "\x05\x00\x00\x05\xfe\x00\x00\x02\x00"s);
+  EXPECT_EQ(mysql::write_error({1096, "HY000", "No tables used"}), "\xff\x48\x04#HY000No tables used"s);
+  // COM_STMT_EXECUTE of statement 1 with the text "foo", new types bound.
+  mysql::ParameterTypes types;
+  const auto execute = mysql::read_execute(
+      "\x17\x01\x00\x00\x00\x00\x01\x00\x00\x00\x00\x01\x0f\x00\x03"s + "foo", 1, false, types);
+  EXPECT_EQ(execute.statement, 1U);
+  EXPECT_EQ(execute.values, std::vector<sql::Value>{"foo"s});
+  // A binary row of one var_string column.
+  EXPECT_EQ(mysql::write_binary_row({"foobar"s}), "\x00\x00\x06"s + "foobar");
+  EXPECT_EQ(mysql::write_binary_row({std::nullopt}), "\x00\x04"s);
+  // SHA1(password) XOR SHA1(nonce + SHA1(SHA1(password))).
+  EXPECT_EQ(mysql::native_answer("", "nonce"), "");
+  EXPECT_EQ(mysql::native_answer("secret", std::string(20, 'n')).size(), 20U);
+}
+
+TEST(MysqlPackets, SignsDatesAndFloatsOfBinaryValuesAreKept) {
+  const auto row = "\x00\x00\xff"s + "\x00\x00\xc0\x3f"s + "\x04\xda\x07\x0a\x11"s +
+                   "\x08\x01\x01\x00\x00\x00\x13\x1b\x1e"s;
+  const auto cells = mysql::read_binary_row(row, {0x01, 0x04, 0x0a, 0x0b});
+  EXPECT_EQ(cells[0], "-1");
+  EXPECT_EQ(cells[1], "1.5");
+  EXPECT_EQ(cells[2], "2010-10-17");
+  EXPECT_EQ(cells[3], "-43:27:30");
+}
+
+// Every prefix of a good packet is malformed, and none is more than that.
+TEST(MysqlPackets, CutPacketsAreMalformed) {
+  mysql::Execute execute{3, {"abc"s, std::int64_t{7}, sql::Null{}}, {{"class", "lookup"s}}};
+  const auto packet = mysql::write_execute(execute, true);
+  for (std::size_t size = 0; size < packet.size(); ++size) {
+    mysql::ParameterTypes types;
+    EXPECT_THROW(static_cast<void>(mysql::read_execute(packet.substr(0, size), 3, true, types)),
+                 mysql::Malformed)
+        << size;
+  }
+  mysql::ParameterTypes types;
+  const auto read = mysql::read_execute(packet, 3, true, types);
+  EXPECT_EQ(read.values, execute.values);
+  ASSERT_EQ(read.attributes.size(), 1U);
+  EXPECT_EQ(read.attributes[0].name, "class");
+  mysql::PacketReader reader(100);
+  reader.feed("\xff\xff\xff\x00"s);
+  EXPECT_THROW(static_cast<void>(reader.next()), mysql::Malformed);
+}
+
+TEST(MysqlResults, RowsSurviveTheirWayAsText) {
+  const std::vector<std::vector<mysql::Cell>> rows{{"a\tb"s, std::nullopt, "\\N"s}, {""s, "x\ny"s, "\0"s}};
+  std::string body;
+  for (const auto& row : rows) mysql::append_row(body, row);
+  EXPECT_EQ(mysql::read_rows(body, true), rows);
+  EXPECT_EQ(mysql::read_rows("a\\t\tb\n", false), (std::vector<std::vector<mysql::Cell>>{{"a\\t"s, "b"s}}));
+}
+
+TEST(MysqlMapping, ClassKeysAndLimitsComeFromCommentsAndAttributes) {
+  heronwell::Settings settings;
+  heronwell::ClassSettings lookup, load;
+  lookup.name = "lookup";
+  lookup.give_up = std::chrono::seconds(2);
+  load.name = "load";
+  load.give_up = std::chrono::seconds(25);
+  load.effect = heronwell::Effect::keyed;
+  settings.classes = {lookup, load};
+  config::Names names;
+  names.classes = {{"lookup", 0}, {"load", 1}};
+  const auto map = [&](const char* text, const std::vector<sql::Value>& values = {},
+                       const std::vector<mysql::Attribute>& more = {}) {
+    return mysql::map_statement(text, values, more, 3, names, settings);
+  };
+  const auto plain = map("SELECT a FROM sales_17.orders");
+  EXPECT_EQ(plain.cls, 0);
+  EXPECT_EQ(plain.limit, std::chrono::seconds(2));
+  EXPECT_EQ(plain.data_group, 17);
+  EXPECT_EQ(plain.tenant, 3U);
+  const auto full =
+      map("/* bellstair: class=load unique=?2 item=ff limit=900 */ INSERT INTO a_1.b VALUES (?, ?)",
+          {std::int64_t{1}, "k-1"s}, {{"limit", std::int64_t{700}}, {"driver_name", "x"s}});
+  EXPECT_EQ(full.cls, 1);
+  EXPECT_EQ(full.nonce, "k-1");
+  EXPECT_EQ(full.order_key, 255U);
+  EXPECT_EQ(full.limit, std::chrono::milliseconds(700));
+  for (const auto* bad :
+       {"INSERT INTO a_1.b VALUES (1)", "/* bellstair: class=load */ INSERT INTO a_1.b VALUES (1)",
+        "/* bellstair: class=none */ SELECT 1", "/* bellstair: what=1 */ SELECT 1",
+        "/* bellstair: limit=x */ SELECT 1", "/* bellstair: item=?1 */ SELECT 1"})
+    EXPECT_THROW(static_cast<void>(map(bad)), mysql::Refusal) << bad;
+}
+
+}  // namespace
+}  // namespace bellstair
--- /dev/null
+++ b/tests/core_test.cpp
@@ -0,0 +1,227 @@
+// The core with plain values and a clock of the test's own.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "core/reducer.hpp"
+
+namespace bellstair::core {
+namespace {
+using namespace std::chrono_literals;
+using heronwell::EngineState;
+
+heronwell::Settings settings() {
+  heronwell::Settings s;
+  s.kinds = {{"std-8", 8, 16384}};
+  heronwell::ClassSettings lookup;
+  lookup.name = "lookup";
+  lookup.aim = 400ms;
+  lookup.give_up = 2s;
+  auto once = lookup;
+  once.name = "once";
+  once.effect = heronwell::Effect::unsafe;
+  s.classes = {lookup, once};
+  s.max_attempts = 4;
+  s.may_call_off = s.retry_after = true;
+  s.max_retry_after = 500ms;
+  s.priorities = true;
+  return s;
+}
+
+Member member(EngineId id, EngineState state = EngineState::ready) {
+  Member out;
+  out.entry.engine = id;
+  out.entry.state = state;
+  out.address = "127.0.0.1:1";
+  return out;
+}
+
+class Driven {
+ public:
+  Driven() {
+    at(0ms, Listening{});
+    at(0ms, FleetChange{true, {member(7)}, true});
+    at(0ms, Tick{});
+  }
+  void at(Time after, Event event) {
+    now += after;
+    reducer.reduce(now, std::move(event), effects);
+  }
+  // Ticks until `time` has passed.
+  void pass(Time time) {
+    for (const Time end = now + time; now < end;) at(std::min<Time>(5ms, end - now), Tick{});
+  }
+  void ask(Client client, ClassIndex cls = 0, Time limit = 2s) {
+    Submission asked;
+    asked.client = client;
+    asked.cls = cls;
+    asked.limit = limit;
+    asked.body = "SELECT 1";
+    at(10ms, Arrived{asked});
+  }
+  template <class T>
+  std::vector<T> all() const {
+    std::vector<T> out;
+    for (const auto& effect : effects) {
+      if (const auto* e = std::get_if<T>(&effect)) out.push_back(*e);
+    }
+    return out;
+  }
+  void finish(AttemptId id, AttemptEnd how, std::string body = {}) {
+    AttemptEnded ended;
+    ended.id = id;
+    ended.end = how;
+    ended.body = std::move(body);
+    at(10ms, ended);
+  }
+  Time now = 1'700'000'000s;
+  Reducer reducer{settings(), 1};
+  Effects effects;
+};
+
+TEST(TimerWheel, FiresOnceWithinATickAndNeverEarly) {
+  TimerWheel<int> wheel(5ms);
+  std::vector<int> fired;
+  const auto advance = [&](Time now) { wheel.advance(now, [&](int key) { fired.push_back(key); }); };
+  advance(100ms);
+  wheel.arm(112ms, 1);
+  wheel.arm(20s, 2);  // several turns of the wheel ahead
+  wheel.arm(1ms, 3);  // past
+  advance(111ms);
+  EXPECT_EQ(fired, std::vector{3});
+  advance(115ms);
+  EXPECT_EQ(fired, (std::vector{3, 1}));
+  advance(19995ms);
+  EXPECT_EQ(fired.size(), 2U);
+  advance(60s);  // after a long sleep
+  EXPECT_EQ(fired, (std::vector{3, 1, 2}));
+  EXPECT_EQ(wheel.armed(), 0U);
+}
+
+TEST(Lifecycle, PassesThroughItsPhases) {
+  Lifecycle life;
+  life.listening();
+  EXPECT_FALSE(life.advance(0s, false, false));  // no engine is known yet
+  EXPECT_FALSE(life.green());
+  life.fleet_known();
+  EXPECT_TRUE(life.advance(1s, false, false));
+  EXPECT_TRUE(life.green());
+  life.stop(2s);
+  EXPECT_FALSE(life.green());
+  EXPECT_FALSE(life.advance(2s + Lifecycle::kLinger, true, false));  // something is owed
+  EXPECT_FALSE(life.advance(2s, false, false));                      // clients still come
+  EXPECT_TRUE(life.advance(2s + Lifecycle::kLinger, false, true));
+  EXPECT_EQ(life.phase(), Phase::stopping);
+  EXPECT_TRUE(life.advance(10s, false, true));  // it does not wait for ever
+  EXPECT_EQ(life.phase(), Phase::exited);
+}
+
+TEST(Reducer, AServedAttemptGivesTheOneFinalAnswer) {
+  Driven d;
+  d.ask(42);
+  const auto started = d.all<StartAttempt>();
+  ASSERT_EQ(started.size(), 1U);
+  EXPECT_TRUE(d.all<Transmit>().empty());  // not before there is a connection
+  d.at(1ms, AttemptReady{started[0].id});
+  ASSERT_EQ(d.all<Transmit>().size(), 1U);
+  d.finish(started[0].id, AttemptEnd::served, "rows");
+  d.finish(started[0].id, AttemptEnd::served, "again");
+  d.pass(3s);
+  const auto answers = d.all<Answer>();
+  ASSERT_EQ(answers.size(), 1U);
+  EXPECT_EQ(answers[0].client, 42U);
+  EXPECT_EQ(answers[0].body, "rows");
+  EXPECT_EQ(d.reducer.held(), 0U);
+}
+
+// A connection may take longer than the list takes to change: the first byte must not leave then.
+TEST(Reducer, NothingLeavesForAnEngineThatHasBegunToDrain) {
+  Driven d;
+  d.ask(1);
+  const auto id = d.all<StartAttempt>().at(0).id;
+  d.at(1ms, FleetChange{false, {member(7, EngineState::draining), member(8)}, true});
+  d.at(1ms, AttemptReady{id});
+  EXPECT_TRUE(d.all<Transmit>().empty());
+  ASSERT_EQ(d.all<Abandon>().size(), 1U);
+  d.finish(id, AttemptEnd::expired);
+  d.pass(50ms);
+  ASSERT_EQ(d.all<StartAttempt>().size(), 2U);
+  EXPECT_EQ(d.all<StartAttempt>()[1].engine, 8U);
+}
+
+TEST(Reducer, ASilentEngineMeansAnAnswerBeforeTheDeadline) {
+  Driven d;
+  d.ask(1, 1, 2s);
+  d.at(1ms, AttemptReady{d.all<StartAttempt>().at(0).id});
+  d.pass(1900ms);
+  EXPECT_TRUE(d.all<Answer>().empty());
+  d.pass(90ms);
+  ASSERT_EQ(d.all<Answer>().size(), 1U);
+  EXPECT_EQ(d.all<Answer>()[0].kind, AnswerKind::timed_out);  // not refused: it may have run
+  EXPECT_EQ(d.all<Abandon>().size(), 1U);
+  EXPECT_EQ(d.reducer.owed(), 0U);
+  EXPECT_EQ(d.reducer.held(), 1U);  // until the engine has been told
+  d.finish(d.all<StartAttempt>()[0].id, AttemptEnd::withdrawn);
+  EXPECT_EQ(d.reducer.held(), 0U);
+}
+
+TEST(Reducer, AfterACancelNothingIsOwed) {
+  Driven d;
+  d.ask(1);
+  d.at(1ms, AttemptReady{d.all<StartAttempt>().at(0).id});
+  d.at(10ms, Cancelled{1});
+  EXPECT_EQ(d.all<Abandon>().size(), 1U);
+  d.finish(d.all<StartAttempt>()[0].id, AttemptEnd::served, "too late");
+  d.pass(3s);
+  EXPECT_TRUE(d.all<Answer>().empty());
+}
+
+TEST(Reducer, WhatIsRefusedAtAdmissionNeverReachesTheModule) {
+  Driven d;
+  Submission asked;
+  asked.client = 5;
+  asked.limit = 2s;
+  asked.barred = 250ms;
+  d.at(10ms, Arrived{asked});
+  ASSERT_EQ(d.all<Answer>().size(), 1U);
+  EXPECT_EQ(d.all<Answer>()[0].kind, AnswerKind::refused);
+  EXPECT_EQ(d.all<Answer>()[0].pause, 250ms);
+  EXPECT_EQ(d.reducer.held(), 0U);
+}
+
+TEST(Reducer, CallsOfTheModuleLieAStepApart) {
+  Driven d;
+  d.ask(1);
+  EXPECT_EQ(d.all<StartAttempt>().size(), 1U);
+  d.at(7ms, Tick{});
+  Submission asked;
+  asked.limit = 2s;
+  for (Client client = 2; client < 5; ++client) {
+    asked.client = client;
+    d.at(1ms, Arrived{asked});
+  }
+  // The first goes at once; the others wait for the next call together.
+  EXPECT_EQ(d.all<StartAttempt>().size(), 2U);
+  ASSERT_TRUE(d.reducer.next_call().has_value());
+  d.at(*d.reducer.next_call() - d.now, Tick{});
+  EXPECT_EQ(d.all<StartAttempt>().size(), 4U);
+}
+
+TEST(Reducer, ARequestTakenWhileItDrainsIsStillAnswered) {
+  Driven d;
+  d.ask(1);
+  d.at(1ms, StopAsked{});
+  d.ask(2);
+  d.pass(1s);
+  EXPECT_EQ(d.reducer.lifecycle().phase(), Phase::draining);
+  for (const auto& started : d.all<StartAttempt>()) {
+    d.at(1ms, AttemptReady{started.id});
+    d.finish(started.id, AttemptEnd::served);
+  }
+  d.pass(20ms);
+  EXPECT_EQ(d.all<Answer>().size(), 2U);
+  EXPECT_EQ(d.all<Exit>().size(), 1U);
+}
+
+}  // namespace
+}  // namespace bellstair::core
--- /dev/null
+++ b/tests/net/platform_test.cpp
@@ -0,0 +1,174 @@
+// The program on its sockets, between clients, engines and a change log of the platform's kind.
+#include <gtest/gtest.h>
+
+#include "harness.hpp"
+
+namespace bellstair::test {
+namespace {
+
+const std::string kSelect = "SELECT a FROM sales_17.orders";
+
+bool is(const Call& call, const char* method) { return call.method == method; }
+bool polls(const Call& call) { return call.method == "GET" && call.path.find("/0") != std::string::npos; }
+
+TEST(Platform, AQueryIsAskedForToItsEndAndItsPagesComeInOrder) {
+  std::atomic<int> asked = 0;
+  HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
+    if (is(call, "POST") || (polls(call) && ++asked < 3)) return http(202);
+    if (polls(call)) return rows("a\tb\tc\n", 3);
+    const auto page = call.path.substr(call.path.rfind('/') + 1);
+    return http(200, page + "\t\xc3\xa9\t\n", "Result-Page: " + page + "\r\n");
+  });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(7, "load", kSelect, {{"unique", "5c0f"}, {"item", "7f3a9c21e0b4d655"}, {"ram", 96}});
+  const auto answer = client.answer();
+  EXPECT_EQ(answer["id"], 7);
+  EXPECT_EQ(body(answer), "a\tb\tc\n1\t\xc3\xa9\t\n2\t\xc3\xa9\t\n");
+  const auto post = engine.calls.wait([](const Call& c) { return is(c, "POST"); });
+  EXPECT_EQ(post.body, kSelect);
+  EXPECT_EQ(post.headers.at("X-Ticket"), "9b1f03aa5c7e2d41");
+  EXPECT_EQ(post.headers.at("X-Queue"), "load");
+  EXPECT_EQ(post.headers.at("X-Nonce"), "5c0f");
+  EXPECT_LE(std::stoi(post.headers.at("X-Max-Ms")), 15000);
+}
+
+TEST(Platform, WhatTheModuleGivesUpIsRefusedAtOnceWithATimeToStayAway) {
+  HttpEngine engine([](const Call&) { return http(503, {}, "X-Shed: 1\r\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect, {{"limit", 20000}});
+  const auto before = std::chrono::steady_clock::now();
+  const auto error = client.answer()["error"];
+  EXPECT_LT(std::chrono::steady_clock::now() - before, 10s);  // long before its deadline
+  EXPECT_EQ(error["code"], -32066);
+  EXPECT_EQ(error["data"]["later"], 500);
+}
+
+TEST(Platform, ALostConnectionAfterTheStatementIsNeverReplayedForAnUnsafeClass) {
+  HttpEngine engine([](const Call&) { return std::nullopt; });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "once", "UPDATE sales_17.orders SET a = 1");
+  const auto error = client.answer()["error"];
+  EXPECT_NE(error["code"], -32066);  // a refusal would promise that nothing ran
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
+TEST(Platform, AResetEngineIsLeftForAnotherAndAKeyedRequestKeepsItsKey) {
+  std::atomic<int> posts = 0;
+  const auto answer = [&](const Call& call) -> std::optional<std::string> {
+    if (is(call, "POST") && posts++ == 0) return std::nullopt;  // whichever comes first
+    return rows("x\ty\tz\n");
+  };
+  HttpEngine one(answer), two(answer);
+  Broker broker({{"s-00000001", one.server.address()}, {"s-00000002", two.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "load", "UPDATE sales_17.orders SET a = 1", {{"unique", "abc123"}});
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+  const auto keyed = [](const Call& c) { return is(c, "POST") && c.headers.at("X-Nonce") == "abc123"; };
+  EXPECT_EQ(one.calls.count(keyed), 1U);
+  EXPECT_EQ(two.calls.count(keyed), 1U);
+}
+
+TEST(Platform, AfterACancelNothingIsOwedAndTheEngineIsTold) {
+  HttpEngine engine([](const Call& call) { return http(is(call, "DELETE") ? 204 : 202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect);
+  engine.calls.wait(polls);
+  client.socket.send(R"({"jsonrpc":"2.0","method":"cancel","params":{"id":1}})"
+                     "\n");
+  engine.calls.wait([](const Call& c) { return is(c, "DELETE") && c.path == "/v1/store/9b1f03aa5c7e2d41"; });
+  EXPECT_TRUE(client.green());  // the next line on the connection answers this, not the query
+}
+
+TEST(Platform, AnAnswerThatCannotBeCompletedIsNeverServedInPart) {
+  HttpEngine engine([](const Call& call) {
+    return is(call, "POST") ? rows("a\tb\tc\n", 2) : http(500);  // its pages are lost
+  });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "once", kSelect);
+  EXPECT_TRUE(client.answer().contains("error"));
+}
+
+TEST(Platform, ADrainingEngineGetsNothingNew) {
+  HttpEngine one([](const Call&) { return rows("1\t1\t1\n"); });
+  HttpEngine two([](const Call&) { return rows("2\t2\t2\n"); });
+  Broker broker({{"s-00000001", one.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(client.answer()), "1\t1\t1\n");
+  broker.changes.push({server("s-00000001", one.server.address(), "terminating"),
+                       server("s-00000002", two.server.address())});
+  broker.changes.wait_until_told();
+  for (int id = 2; id < 12; ++id) {
+    client.ask(id, "lookup", kSelect);
+    EXPECT_EQ(body(client.answer()), "2\t2\t2\n");
+  }
+  EXPECT_EQ(one.posts(), 1U);
+}
+
+TEST(Platform, SigtermTurnsHealthRedAndFinishesWhatWasTaken) {
+  std::atomic<bool> done = false;
+  HttpEngine engine([&](const Call&) { return done ? rows("x\ty\tz\n") : http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  EXPECT_TRUE(client.green());
+  client.ask(1, "lookup", kSelect);
+  engine.calls.wait(polls);
+  broker.program->signal(SIGTERM);
+  broker.program->said("phase: draining");
+  Client late(broker.address);  // still accepted, and served
+  EXPECT_FALSE(late.green());
+  late.ask(5, "lookup", kSelect, {{"txn", "00000000000000aa"}});
+  done = true;
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+  EXPECT_EQ(body(late.answer()), "x\ty\tz\n");
+  EXPECT_EQ(broker.program->wait(), 0);
+}
+
+TEST(Platform, BadInputHarmsNobodyElse) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client good(broker.address), bad(broker.address);
+  const std::pair<const char*, int> kBad[] = {
+      {"{", -32700},
+      {"[]", -32600},
+      {R"({"jsonrpc":"2.0","id":-1,"method":"lookup"})", -32600},
+      {R"({"jsonrpc":"2.0","id":1,"method":"nothing"})", -32601},
+      {R"({"jsonrpc":"2.0","id":1,"method":"lookup","params":{"txn":"../../etc","limit":9,"data":""}})",
+       -32602},
+      {R"({"jsonrpc":"2.0","id":1,"method":"lookup","params":{"txn":"9b1f03aa5c7e2d41","limit":9,"data":"*"}})",
+       -32602}};
+  for (const auto& [line, code] : kBad) {
+    bad.socket.send(std::string(line) + "\n");
+    EXPECT_EQ(bad.answer()["error"]["code"], code) << line;
+  }
+  bad.socket.send(std::string(300 * 1024, 'x'));
+  EXPECT_TRUE(bad.socket.ended());
+  good.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(good.answer()), "x\ty\tz\n");
+}
+
+TEST(Platform, AnEngineThatTalksNonsenseIsAnErrorAndNoMore) {
+  HttpEngine engine([](const Call&) { return "HTTP/9.9 what\r\n\r\n"; });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "once", kSelect);
+  EXPECT_TRUE(client.answer().contains("error"));
+  EXPECT_TRUE(client.green());
+}
+
+TEST(CommandLine, ABadConfigurationIsOneLineThatNamesTheField) {
+  const auto file = temporary(R"({"listen":"127.0.0.1:0","changelog":"127.0.0.1:1","seed":"xyz"})");
+  Program program({"check-config", "--config", file});
+  program.said("seed: is not a number in hex digits");
+  EXPECT_NE(program.wait(), 0);
+  EXPECT_EQ(program.lines(), 1U);
+  ::unlink(file.c_str());
+}
+
+}  // namespace
+}  // namespace bellstair::test
