Add the admission script hook and LDAP directories of tenants, both off by default

The directory is asked over libldap on a socket of the loop's own: nothing blocks, an empty password is never bound with, a user's name can't change the filter.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -76,10 +76,20 @@
   front_ = std::make_unique<platform::Front>(
       loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
       [this] { return reducer_.lifecycle().green(); }, poster());
+  if (fronts_.plugin)
+    plugin_ =
+        std::make_unique<plugin::Admission>(*fronts_.plugin, config_.names, config_.settings.max_retry_after);
+  if (fronts_.directory)
+    directory_ = std::make_unique<directory::Ldap>(loop, *fronts_.directory, config_.names);
   if (fronts_.mysql) {
     mysql::Front::Options options;
     options.most_connections = share / 2;
     options.escaped_rows = fronts_.mysql_engines.has_value();
+    if (directory_) {
+      options.lookup = [this](const std::string& user, const std::string& password, directory::Done done) {
+        directory_->look_up(user, password, std::move(done));
+      };
+    }
     mysql_ = std::make_unique<mysql::Front>(loop, listen(fronts_.mysql->listen, "mysql.listen"),
                                             *fronts_.mysql, config_.names, config_.settings,
                                             std::move(options), handles_, config_.seed, poster());
@@ -107,6 +117,7 @@
   const auto now = unix_now();
   engines_->tick(now);
   if (mysql_) mysql_->tick(now);
+  if (directory_) directory_->tick(now);
   changelog_.tick(now);
   post(core::Tick{unwritten()});
 }
@@ -132,12 +143,23 @@
   while (!events_.empty()) {
     auto event = std::move(events_.front());
     events_.pop_front();
+    if (auto* arrived = std::get_if<core::Arrived>(&event); arrived != nullptr && plugin_)
+      admit(arrived->asked);
     effects_.clear();
     reducer_.reduce(unix_now(), std::move(event), effects_);
     for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
   }
 }
 
+// A script that fails for one request fails for many: one line a second says enough.
+void Broker::admit(core::Submission& asked) {
+  const auto said = plugin_->admit(asked);
+  const auto now = unix_now();
+  if (said.empty() || now < plugin_logged_ + 1s) return;
+  plugin_logged_ = now;
+  run(core::Log{said});
+}
+
 void Broker::run(const core::Answer& effect) {
   if (!front_->run(effect) && mysql_) mysql_->run(effect);
 }
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -10,11 +10,13 @@
 #include "config/config.hpp"
 #include "config/fronts.hpp"
 #include "core/reducer.hpp"
+#include "directory/ldap.hpp"
 #include "mysql/front.hpp"
 #include "net/driver.hpp"
 #include "platform/changelog.hpp"
 #include "platform/front.hpp"
 #include "platform/peers.hpp"
+#include "plugin/admission.hpp"
 
 namespace bellstair::app {
 
@@ -34,6 +36,7 @@
   void on_prepare(ev::prepare& prepare, int events);
   void on_signal(ev::sig& signal, int events);
   void pump();
+  void admit(core::Submission& asked);
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
   [[nodiscard]] bool unwritten() const;
@@ -58,7 +61,11 @@
   core::Reducer reducer_;
   std::unique_ptr<net::EngineDriver> engines_;
   std::unique_ptr<platform::Front> front_;
-  std::unique_ptr<mysql::Front> mysql_;  // off on the platform
+  // Off on the platform.
+  std::unique_ptr<directory::Ldap> directory_;
+  std::unique_ptr<plugin::Admission> plugin_;
+  std::unique_ptr<mysql::Front> mysql_;
+  core::Time plugin_logged_{};
   platform::ChangeLog changelog_;
   platform::Peers peers_;
   ev::timer tick_, call_;
--- /dev/null
+++ b/src/directory/ldap.cpp
@@ -0,0 +1,218 @@
+#include "directory/ldap.hpp"
+
+// libldap on a socket of our own making (openldap.h), so that neither connecting nor waiting blocks.
+#include <ldap.h>
+#include <openldap.h>
+#include <openssl/evp.h>
+#include <openssl/rand.h>
+
+#include <algorithm>
+#include <array>
+
+namespace bellstair::directory {
+namespace {
+using namespace std::chrono_literals;
+
+constexpr std::size_t kMostOpen = 32;  // questions at a time; each has a connection of its own
+constexpr std::size_t kMostKnown = 4096;
+
+struct MessageDeleter {
+  void operator()(LDAPMessage* message) const { ldap_msgfree(message); }
+};
+using Message = std::unique_ptr<LDAPMessage, MessageDeleter>;
+
+}  // namespace
+
+std::string escape_filter(std::string_view value) {
+  constexpr const char* kDigits = "0123456789abcdef";
+  std::string out;
+  for (const char c : value) {
+    const auto byte = static_cast<unsigned char>(c);
+    if (c == '*' || c == '(' || c == ')' || c == '\\' || byte < 0x20 || byte >= 0x7f) {
+      out += {'\\', kDigits[byte >> 4], kDigits[byte & 15]};
+    } else {
+      out += c;
+    }
+  }
+  return out;
+}
+
+// One user looked up over one connection: bind as the service, search, bind as the user.
+class Ldap::Question {
+ public:
+  enum class Stage { connecting, service_bind, search, user_bind };
+
+  Question(Ldap& owner, std::string user, std::string password, Done done)
+      : owner_(owner),
+        user_(std::move(user)),
+        password_(std::move(password)),
+        done_(std::move(done)),
+        until_(owner.now_ + owner.config_.timeout),
+        io_(owner.loop_) {
+    io_.set<Question, &Question::on_io>(this);
+  }
+  ~Question() { stop(); }
+  Question(const Question&) = delete;
+  Question& operator=(const Question&) = delete;
+
+  // False: there is no way to the directory.
+  bool start() {
+    const auto at = net::parse_address(owner_.config_.address);
+    fd_ = at ? net::begin_connect(*at) : net::Fd();
+    if (!fd_) return false;
+    io_.start(fd_.get(), ev::WRITE);
+    return true;
+  }
+
+  void stop() {
+    io_.stop();
+    if (ldap_ != nullptr) ldap_unbind_ext(std::exchange(ldap_, nullptr), nullptr, nullptr);
+    fd_.reset();
+  }
+
+  [[nodiscard]] core::Time until() const { return until_; }
+  [[nodiscard]] const std::string& user() const { return user_; }
+  [[nodiscard]] const std::string& password() const { return password_; }
+  Done take_done() { return std::exchange(done_, {}); }
+
+ private:
+  void conclude(Verdict::Kind kind, std::uint32_t tenant = 0) { owner_.answer(*this, {kind, tenant}); }
+  void unavailable() { conclude(Verdict::Kind::unavailable); }
+
+  void on_io(ev::io&, int) {
+    if (stage_ == Stage::connecting) return connected();
+    LDAPMessage* raw = nullptr;
+    timeval at_once{0, 0};
+    const int kind = ldap_result(ldap_, pending_, LDAP_MSG_ALL, &at_once, &raw);
+    const Message message(raw);
+    if (kind == 0) return;  // not whole yet
+    int code = LDAP_OTHER;
+    if (kind < 0 ||
+        ldap_parse_result(ldap_, raw, &code, nullptr, nullptr, nullptr, nullptr, 0) != LDAP_SUCCESS)
+      return unavailable();
+    switch (stage_) {
+      case Stage::connecting:
+        return;
+      case Stage::service_bind:
+        return code == LDAP_SUCCESS ? search() : unavailable();
+      case Stage::search:
+        return code == LDAP_SUCCESS ? found(raw) : unavailable();
+      case Stage::user_bind:
+        if (code == LDAP_SUCCESS) return conclude(Verdict::Kind::granted, tenant_);
+        return code == LDAP_INVALID_CREDENTIALS ? conclude(Verdict::Kind::denied) : unavailable();
+    }
+  }
+
+  void connected() {
+    if (net::connect_error(fd_.get()) != 0) return unavailable();
+    io_.set(ev::READ);
+    const auto url = "ldap://" + owner_.config_.address;
+    // From here on libldap owns a descriptor: one of its own, so that closing it leaves ours alone.
+    const int own = ::dup(fd_.get());
+    if (own < 0 || ldap_init_fd(own, LDAP_PROTO_TCP, url.c_str(), &ldap_) != LDAP_SUCCESS)
+      return unavailable();
+    const int version = LDAP_VERSION3;
+    ldap_set_option(ldap_, LDAP_OPT_PROTOCOL_VERSION, &version);
+    ldap_set_option(ldap_, LDAP_OPT_REFERRALS, LDAP_OPT_OFF);
+    if (owner_.config_.bind_dn.empty()) return search();
+    bind(owner_.config_.bind_dn, owner_.config_.bind_password, Stage::service_bind);
+  }
+
+  void bind(const std::string& dn, std::string password, Stage stage) {
+    berval secret{password.size(), password.data()};
+    stage_ = stage;
+    if (ldap_sasl_bind(ldap_, dn.c_str(), LDAP_SASL_SIMPLE, &secret, nullptr, nullptr, &pending_) !=
+        LDAP_SUCCESS)
+      unavailable();
+  }
+
+  void search() {
+    const auto& config = owner_.config_;
+    const auto filter = "(" + config.user_attribute + "=" + escape_filter(user_) + ")";
+    auto attribute = config.tenant_attribute;
+    char* attributes[] = {attribute.data(), nullptr};
+    stage_ = Stage::search;
+    if (ldap_search_ext(ldap_, config.base.c_str(), LDAP_SCOPE_SUBTREE, filter.c_str(), attributes, 0,
+                        nullptr, nullptr, nullptr, 2, &pending_) != LDAP_SUCCESS)
+      unavailable();
+  }
+
+  // An entry that is not the only one is nobody's.
+  void found(LDAPMessage* message) {
+    if (ldap_count_entries(ldap_, message) != 1) return conclude(Verdict::Kind::denied);
+    LDAPMessage* entry = ldap_first_entry(ldap_, message);
+    const std::unique_ptr<char, void (*)(void*)> dn(ldap_get_dn(ldap_, entry), ldap_memfree);
+    const std::unique_ptr<berval*, void (*)(berval**)> values(
+        ldap_get_values_len(ldap_, entry, owner_.config_.tenant_attribute.c_str()), ldap_value_free_len);
+    if (!dn || !values || values.get()[0] == nullptr) return conclude(Verdict::Kind::denied);
+    const auto* first = values.get()[0];
+    const auto tenant = owner_.names_.tenants.find(std::string_view(first->bv_val, first->bv_len));
+    if (tenant == owner_.names_.tenants.end()) return conclude(Verdict::Kind::denied);
+    tenant_ = tenant->second;
+    bind(dn.get(), password_, Stage::user_bind);
+  }
+
+  Ldap& owner_;
+  std::string user_, password_;
+  Done done_;
+  core::Time until_;
+  ev::io io_;
+  net::Fd fd_;
+  LDAP* ldap_ = nullptr;
+  Stage stage_ = Stage::connecting;
+  int pending_ = 0;
+  std::uint32_t tenant_ = 0;
+};
+
+Ldap::Ldap(ev::loop_ref loop, const config::Directory& config, const config::Names& names)
+    : loop_(loop), config_(config), names_(names), salt_(32, '\0') {
+  RAND_bytes(reinterpret_cast<unsigned char*>(salt_.data()), static_cast<int>(salt_.size()));
+  // The library reads its own files at its first use: before anything is served.
+  ldap_set_option(nullptr, LDAP_OPT_REFERRALS, LDAP_OPT_OFF);
+}
+
+Ldap::~Ldap() = default;
+
+// Passwords are not kept, only what can be told from them.
+std::string Ldap::key(const std::string& user, const std::string& password) const {
+  const auto text = salt_ + std::to_string(user.size()) + ":" + user + password;
+  std::array<unsigned char, EVP_MAX_MD_SIZE> out{};
+  unsigned size = 0;
+  EVP_Digest(text.data(), text.size(), out.data(), &size, EVP_sha256(), nullptr);
+  return {reinterpret_cast<const char*>(out.data()), size};
+}
+
+void Ldap::look_up(const std::string& user, const std::string& password, Done done) {
+  // A bind with a name and no password is one as nobody (RFC 4513, 5.1.2), and always succeeds.
+  if (user.empty() || password.empty()) return done({Verdict::Kind::denied, 0});
+  if (const auto found = known_.find(key(user, password));
+      found != known_.end() && now_ < found->second.until)
+    return done(found->second.verdict);
+  if (open_.size() >= kMostOpen) return done({Verdict::Kind::unavailable, 0});
+  open_.push_back(std::make_unique<Question>(*this, user, password, std::move(done)));
+  auto& question = *open_.back();
+  if (!question.start()) answer(question, {Verdict::Kind::unavailable, 0});
+}
+
+void Ldap::answer(Question& question, Verdict verdict) {
+  const auto at = std::ranges::find(open_, &question, &std::unique_ptr<Question>::get);
+  if (at == open_.end()) return;
+  question.stop();
+  gone_.push_back(std::move(*at));
+  open_.erase(at);
+  if (verdict.kind == Verdict::Kind::granted) {
+    if (known_.size() >= kMostKnown) known_.clear();
+    known_[key(question.user(), question.password())] = {verdict, now_ + config_.cache};
+  }
+  question.take_done()(verdict);
+}
+
+void Ldap::tick(core::Time now) {
+  now_ = now;
+  gone_.clear();
+  // In the order of asking, and so in that of their time running out.
+  while (!open_.empty() && open_.front()->until() <= now)
+    answer(*open_.front(), {Verdict::Kind::unavailable, 0});
+}
+
+}  // namespace bellstair::directory
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,6 +11,7 @@
 #include "app/broker.hpp"
 #include "config/config.hpp"
 #include "config/fronts.hpp"
+#include "plugin/admission.hpp"
 
 namespace {
 
@@ -84,6 +85,8 @@
     if (!options.fronts.empty())
       fronts = bellstair::config::parse_fronts(read_file(options.fronts, "fronts"), config.names);
     if (options.command == "check-config") {
+      if (fronts.plugin)
+        bellstair::plugin::Admission(*fronts.plugin, config.names, config.settings.max_retry_after);
       std::puts("the configuration is fine");
       return 0;
     }
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -164,12 +164,12 @@
 void Front::look_up(Connection& connection, const std::string& password) {
   connection.phase = Phase::looked_up;
   const auto serial = connection.serial;
-  options_.lookup(connection.user, password, [this, serial](Verdict verdict) {
+  options_.lookup(connection.user, password, [this, serial](directory::Verdict verdict) {
     const auto found = connections_.find(serial);
     if (found == connections_.end()) return;
     auto& asker = *found->second;
-    if (verdict.kind == Verdict::Kind::denied) return refuse(asker, denied(asker.user));
-    if (verdict.kind == Verdict::Kind::unavailable)
+    if (verdict.kind == directory::Verdict::Kind::denied) return refuse(asker, denied(asker.user));
+    if (verdict.kind == directory::Verdict::Kind::unavailable)
       return refuse(asker,
                     {kDirectoryDown, "HY000", "the directory of users can't be reached; try again later"});
     let_in(asker, verdict.tenant);
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -15,27 +15,20 @@
 #include "config/fronts.hpp"
 #include "core/events.hpp"
 #include "core/wheel.hpp"
+#include "directory/verdict.hpp"
 #include "mysql/mapping.hpp"
 #include "mysql/packet.hpp"
 #include "net/stream.hpp"
 
 namespace bellstair::mysql {
 
-// Where users are looked up that the front's own file does not name.
-struct Verdict {
-  enum class Kind { granted, denied, unavailable } kind = Kind::denied;
-  std::uint32_t tenant = 0;
-};
-using Lookup = std::function<void(const std::string& user, const std::string& password,
-                                  std::function<void(Verdict)> done)>;
-
 class Front {
  public:
   using Post = std::function<void(core::Event)>;
   struct Options {
     std::size_t most_connections = 256;
     bool escaped_rows = false;  // see read_rows()
-    Lookup lookup;              // empty: no directory
+    directory::Lookup lookup;   // of users that the front's own file does not name; empty: no directory
   };
   Front(ev::loop_ref loop, net::Fd listening, const config::MysqlFront& config, const config::Names& names,
         const heronwell::Settings& settings, Options options, std::uint64_t& handles, std::uint64_t seed,
--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -3,92 +3,12 @@
 #include <gtest/gtest.h>
 
 #include "harness.hpp"
-#include "mysql/packet.hpp"
+#include "mysql_client.hpp"
 
 namespace bellstair::test {
 namespace {
-namespace my = mysql;
 using namespace std::string_literals;
 
-constexpr std::uint32_t kCapabilities = my::kLongPassword | my::kProtocol41 | my::kSecureConnection |
-                                        my::kPluginAuth | my::kLenencAuth | my::kQueryAttributes;
-
-// Packets over a blocking socket.
-class Wire {
- public:
-  explicit Wire(Socket& socket) : socket_(socket) {}
-  std::string take() {
-    while (true) {
-      if (auto packet = reader_.next()) {
-        sequence_ = static_cast<std::uint8_t>(packet->sequence + 1);
-        return packet->payload;
-      }
-      if (!socket_.more()) throw std::runtime_error("the connection has ended");
-      reader_.feed(std::exchange(socket_.in, {}));
-    }
-  }
-  void give(const std::string& payload) { socket_.send(my::frame(sequence_++, payload)); }
-  void command(const std::string& payload) {
-    sequence_ = 0;
-    give(payload);
-  }
-
- private:
-  Socket& socket_;
-  my::PacketReader reader_{1 << 20};
-  std::uint8_t sequence_ = 0;
-};
-
-class MysqlClient {
- public:
-  explicit MysqlClient(const std::string& address, const std::string& user = "gateway",
-                       const std::string& password = "secret", const char* plugin = my::kCachingSha2)
-      : socket(Socket::to(address)), wire(socket) {
-    const auto greeting = my::read_greeting(wire.take());
-    const auto answer = plugin == my::kNativePassword ? my::native_answer(password, greeting.nonce)
-                                                      : my::sha2_answer(password, greeting.nonce);
-    wire.give(my::write_login({kCapabilities, user, answer, plugin, {}}));
-    login = wire.take();
-    if (login == "\x01\x03") login = wire.take();  // the password was known; the verdict follows
-  }
-  std::string command(const std::string& payload) {
-    wire.command(payload);
-    return wire.take();
-  }
-  std::uint32_t prepare(const std::string& text) {
-    const auto prepared = my::read_prepared(command("\x16" + text));
-    for (int i = 0; i < (prepared.parameters == 0 ? 0 : prepared.parameters + 1); ++i) wire.take();
-    return prepared.statement;
-  }
-  // Rows, or the error.
-  std::vector<std::vector<my::Cell>> execute(std::uint32_t statement, std::vector<sql::Value> values,
-                                             std::vector<my::Attribute> attributes = {}) {
-    return result(command(my::write_execute({statement, std::move(values), std::move(attributes)}, true)),
-                  true);
-  }
-  std::vector<std::vector<my::Cell>> query(const std::string& text,
-                                           std::vector<my::Attribute> attributes = {}) {
-    return result(command(my::write_query({text, std::move(attributes)}, true)), false);
-  }
-  std::vector<std::vector<my::Cell>> result(std::string first, bool binary) {
-    error = {};
-    if (my::is_error(first)) error = my::read_error(first);
-    if (my::is_error(first) || first[0] == 0) return {};
-    const auto columns = static_cast<std::size_t>(first[0]);
-    std::vector<std::uint8_t> types;
-    for (std::size_t i = 0; i < columns; ++i) types.push_back(my::read_column_type(wire.take()));
-    EXPECT_TRUE(my::is_eof(wire.take()));
-    std::vector<std::vector<my::Cell>> rows;
-    for (auto row = wire.take(); !my::is_eof(row); row = wire.take())
-      rows.push_back(binary ? my::read_binary_row(row, types) : my::read_text_row(row, columns));
-    return rows;
-  }
-  Socket socket;
-  Wire wire;
-  std::string login;
-  my::Error error;
-};
-
 struct Executed {
   std::string statement, unique, cls;
 };
