Guard memory, descriptors and drains: bounded bodies, a spare descriptor, no late execute

Found in a review against the protocol's traps, each shown by a test first: - out of descriptors the listener woke the loop for ever (src/net/stream.cpp, Listener::on_io); it now turns away what comes by way of a descriptor in reserve. The HTTP driver has tests of its own: PUT beside a running query, DELETE only after the statement has come whole, news asked for again without a second statement, what proves that nothing ran. Ruled out: an abort seen in one run was the sanitizer's own check, which needs a pipe and found no descriptor left.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -57,13 +57,17 @@
                                              poster());
 }
 
-bool Broker::unwritten() const { return front_->unwritten() || (mysql_ && mysql_->unwritten()); }
+// Of interest only once the program is about to end.
+bool Broker::unwritten() const {
+  if (reducer_.lifecycle().phase() < core::Phase::draining) return false;
+  return front_->unwritten() || (mysql_ && mysql_->unwritten());
+}
 
 Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts)
     : loop_(loop),
       config_(std::move(config)),
       fronts_(std::move(fronts)),
-      reducer_(config_.settings, config_.seed),
+      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4),
       engines_(make_engines()),
       changelog_(loop, config_.changelog, config_.names, config_.known.seq, poster()),
       peers_(loop, config_, poster()),
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -122,6 +122,8 @@
   if (const auto limits = all.find("limits"); limits != all.end()) {
     if (const auto sockets = object(*limits, "limits").find("sockets"); sockets != limits->end())
       out.sockets = whole(*sockets, "limits.sockets");
+    if (const auto memory = limits->find("memory_mb"); memory != limits->end())
+      out.memory_mb = whole(*memory, "limits.memory_mb");
   }
   const json& settings = object(need(all, "settings"), "settings");
   try {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -36,7 +36,7 @@
   std::string name, listen, changelog, peer_listen, peers_all;
   std::vector<std::string> peers;
   std::uint64_t seed = 0;
-  std::size_t sockets = 1024;
+  std::size_t sockets = 1024, memory_mb = 192;
   core::Time dial_timeout{}, idle_close{};
   heronwell::Settings settings;
   Names names;
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -142,7 +142,8 @@
 struct EngineMoved {  // new, at another address, or no longer to be used
   EngineId engine = 0;
   std::string address;
-  bool usable = true;
+  bool usable = true;     // its connections are of use
+  bool accepting = true;  // it takes new work
 };
 struct Log {
   std::string text;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -14,6 +14,11 @@
 // An answer this close to the deadline is told as timed out, to the fronts that make a difference.
 constexpr Time kTimedOut = 60ms;
 
+std::size_t weight(const Submission& asked) {
+  constexpr std::size_t kEach = 1024;  // for what stands beside the texts
+  return kEach + asked.body.size() + asked.parameters.size() + asked.nonce.size();
+}
+
 Result result_of(AttemptEnd end, bool timed_out) {
   switch (end) {
     case AttemptEnd::served:
@@ -35,8 +40,8 @@
 }
 }  // namespace
 
-Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed)
-    : settings_(settings), gateway_(std::move(settings), seed) {}
+Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes)
+    : settings_(settings), gateway_(std::move(settings), seed), most_bytes_(most_bytes) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
   now_ = std::max(now_, now);
@@ -89,13 +94,15 @@
     std::erase_if(members_, [&](const auto& known) {
       const auto same = [&](const Member& m) { return m.entry.engine == known.first; };
       if (std::ranges::any_of(change.members, same)) return false;
-      put(EngineMoved{known.first, known.second.address, false});
+      put(EngineMoved{known.first, known.second.address, false, false});
       return true;
     });
   }
   for (auto& member : change.members) {
     listing.engines.push_back(member.entry);
-    put(EngineMoved{member.entry.engine, member.address, member.entry.state != EngineState::gone});
+    const auto state = member.entry.state;
+    put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
+                    state == EngineState::ready});
     const auto id = member.entry.engine;
     members_.insert_or_assign(id, std::move(member));
   }
@@ -122,7 +129,8 @@
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
   if (asked.barred) return put(Answer{asked.client, AnswerKind::refused, *asked.barred, {}, {}});
-  if (settings_.max_open != 0 && owed_ >= settings_.max_open) {
+  const auto bytes = weight(asked);
+  if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
   const auto id = ++last_request_;
@@ -139,6 +147,7 @@
   auto& request = requests_[id];
   request.deadline = now_ + asked.limit;
   request.asked = std::move(asked);
+  held_bytes_ += bytes;
   ++owed_;
   wheel_.arm(request.deadline - kLastCall, {Alarm::Kind::deadline, {id, 0}});
   news_.push_back(arrival);
@@ -331,7 +340,10 @@
   const auto found = requests_.find(id);
   if (found == requests_.end() || !found->second.answered) return;
   const auto over = [](const Attempt& attempt) { return attempt.stage == Stage::over; };
-  if (std::ranges::all_of(found->second.attempts, over)) requests_.erase(found);
+  if (std::ranges::all_of(found->second.attempts, over)) {
+    held_bytes_ -= weight(found->second.asked);
+    requests_.erase(found);
+  }
 }
 
 }  // namespace bellstair::core
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -18,7 +18,9 @@
  public:
   static constexpr Time kTick = std::chrono::milliseconds(5);
 
-  Reducer(heronwell::Settings settings, std::uint64_t seed);
+  // What requests hold may take `most_bytes`; beyond that they are refused, since to be killed for memory
+  // would lose them all.
+  Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20);
 
   // `now` is Unix time; should the system's clock step back, time stands still here instead.
   void reduce(Time now, Event event, Effects& out);
@@ -96,7 +98,7 @@
   std::vector<heronwell::Event> news_;                      // for the module's next call
   std::vector<heronwell::Action> actions_;
   RequestId last_request_ = 0;
-  std::size_t owed_ = 0;
+  std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
   bool fleet_told_ = false;
   Time now_{}, called_{};
   Effects* out_ = nullptr;
--- a/src/mysql/engines.cpp
+++ b/src/mysql/engines.cpp
@@ -101,6 +101,13 @@
 
 void Engines::run(const core::EngineMoved& effect) {
   effect.usable ? pool_.place(effect.engine, effect.address) : pool_.retire(effect.engine);
+  if (effect.accepting) return;
+  // A statement that is being prepared has not been sent yet, and must not be once the engine drains.
+  std::vector<AttemptId> unsent;
+  for (const auto& [id, attempt] : attempts_) {
+    if (attempt.engine == effect.engine && attempt.stage == Stage::preparing) unsent.push_back(id);
+  }
+  for (const auto id : unsent) run(core::Abandon{id});
 }
 
 void Engines::tick(core::Time now) {
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -101,8 +101,8 @@
           },
       .data =
           [this, &connection](std::string_view bytes) {
-            if (!connection.data) return remove(connection);  // nobody asked
-            const auto data = connection.data;                // it may be replaced from within
+            if (!connection.data) return lose(connection, false);  // nobody asked
+            const auto data = connection.data;                     // it may be replaced from within
             data(bytes);
           },
       .ended =
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -59,7 +59,8 @@
   void watch();
 };
 
-// Accepts connections until told to stop; refuses to starve the program of descriptors.
+// Accepts connections. Out of descriptors it turns away what comes, by way of one kept in reserve: left
+// waiting, the connection would wake the loop again and again.
 class Listener {
  public:
   Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted);
@@ -67,7 +68,7 @@
  private:
   void on_io(ev::io& watcher, int events);
   ev::io io_;
-  Fd fd_;
+  Fd fd_, reserve_;
   std::function<void(Fd)> accepted_;
 };
 
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -1,6 +1,7 @@
 #include "platform/changelog.hpp"
 
 #include <cstdio>
+#include <utility>
 
 namespace bellstair::platform {
 namespace {
@@ -73,9 +74,9 @@
       post_(std::move(change));
     }
     since_ = std::max(since_, news.seq);
-    first_ = false;
+    first_ = nonsense_ = false;
   } catch (const config::Invalid& error) {
-    std::fprintf(stderr, "bellstair: change log: %s\n", error.what());
+    if (!std::exchange(nonsense_, true)) std::fprintf(stderr, "bellstair: change log: %s\n", error.what());
     return lost();
   }
   if (!answer.keep_alive || !stream_->open()) {
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -34,8 +34,9 @@
   Post post_;
   std::unique_ptr<net::Stream> stream_, old_;
   HttpReader reader_;
-  bool first_ = true;     // the first call asks without waiting
-  bool waiting_ = false;  // for the next try
+  bool first_ = true;      // the first call asks without waiting
+  bool nonsense_ = false;  // came last; said once
+  bool waiting_ = false;   // for the next try
   unsigned failures_ = 0;
   core::Time now_{}, next_try_{}, patience_{};
 };
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -189,6 +189,26 @@
   EXPECT_EQ(d.reducer.held(), 0U);
 }
 
+// To be killed for memory would lose all that is held.
+TEST(Reducer, WhatMemoryCannotHoldIsRefused) {
+  Effects effects;
+  Reducer reducer(settings(), 1, 4000);
+  for (Client client = 1; client <= 3; ++client) {
+    Submission asked;
+    asked.client = client;
+    asked.limit = 2s;
+    asked.body = std::string(900, 'x');
+    reducer.reduce(1s, Arrived{asked}, effects);
+  }
+  EXPECT_EQ(reducer.held(), 2U);
+  const auto* answer = std::get_if<Answer>(&effects.back());
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->client, 3U);
+  EXPECT_EQ(answer->kind, AnswerKind::refused);
+  reducer.reduce(1s, Cancelled{1}, effects);
+  EXPECT_EQ(reducer.held(), 1U);
+}
+
 TEST(Reducer, CallsOfTheModuleLieAStepApart) {
   Driven d;
   d.ask(1);
--- /dev/null
+++ b/tests/net/engines_test.cpp
@@ -0,0 +1,166 @@
+// The driver of HTTP engines by itself: effects in, calls at a stand-in engine and events out.
+#include "platform/engines.hpp"
+
+#include <gtest/gtest.h>
+
+#include "harness.hpp"
+
+namespace bellstair::test {
+namespace {
+using core::AttemptEnd;
+
+class Driven {
+ public:
+  explicit Driven(HttpEngine& engine)
+      : engines_(loop_, limits(), {"lookup"}, {"pending", "x1", "x0"},
+                 [this](core::Event e) { events.push_back(std::move(e)); }) {
+    engines_.run(core::EngineMoved{7, engine.server.address()});
+  }
+  template <class T>
+  T wait() {
+    const auto until = std::chrono::steady_clock::now() + kPatience;
+    while (std::chrono::steady_clock::now() < until) {
+      for (const auto& event : events) {
+        if (const auto* found = std::get_if<T>(&event)) return *found;
+      }
+      turn();
+    }
+    throw std::runtime_error("what was waited for did not happen");
+  }
+  // Turns of the loop until the engine has got such a call.
+  void until(HttpEngine& engine, const std::function<bool(const Call&)>& fits) {
+    const auto end = std::chrono::steady_clock::now() + kPatience;
+    while (engine.calls.count(fits) == 0) {
+      if (std::chrono::steady_clock::now() > end) throw std::runtime_error("no such call");
+      turn();
+    }
+  }
+  void start() {
+    engines_.run(core::StartAttempt{id, 7});
+    wait<core::AttemptReady>();
+    core::Transmit what;
+    what.id = id;
+    what.wait = 5s;
+    what.ticket = "9b1f03aa5c7e2d41";
+    what.body = "SELECT 1";
+    engines_.run(what);
+  }
+  template <class Effect>
+  void run(Effect effect) {
+    engines_.run(effect);
+  }
+  const core::AttemptId id{1, 0};
+  std::vector<core::Event> events;
+
+ private:
+  static net::Pool::Limits limits() {
+    net::Pool::Limits out;
+    out.most = 8;
+    out.dial_timeout = 1s;
+    out.idle_life = 10s;
+    return out;
+  }
+  void turn() {
+    engines_.tick(std::chrono::system_clock::now().time_since_epoch());
+    engines_.settle();
+    ev::timer wake(loop_);  // so that a turn without news ends too
+    wake.set<&Driven::nothing>();
+    wake.start(0.005, 0);
+    loop_.run(ev::ONCE);
+  }
+  static void nothing(ev::timer&, int) {}
+  ev::dynamic_loop loop_;
+  platform::Engines engines_;
+};
+
+bool put(const Call& call) { return call.method == "PUT"; }
+bool gone(const Call& call) { return call.method == "DELETE"; }
+bool poll(const Call& call) { return call.method == "GET"; }
+
+TEST(Engines, APriorityIsPutBesideAQueryThatRuns) {
+  std::atomic<bool> done = false;
+  HttpEngine engine([&](const Call& call) { return put(call) ? http(204) : done ? rows("x\n") : http(202); });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  d.run(core::Reprioritize{d.id, 3});
+  d.until(engine, put);
+  const auto call = engine.calls.wait(put);
+  EXPECT_EQ(call.path, "/v1/store/9b1f03aa5c7e2d41");
+  EXPECT_EQ(call.body, "3");
+  done = true;
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::served);
+}
+
+// A DELETE that overtook its statement would leave it running, unasked.
+TEST(Engines, AQueryIsDeletedOnlyOnceItsStatementHasComeWhole) {
+  std::promise<void> answer;
+  HttpEngine engine([&, wait = answer.get_future().share()](const Call& call) {
+    if (call.method == "POST") wait.wait();
+    return http(gone(call) ? 204 : 202);
+  });
+  Driven d(engine);
+  d.start();
+  d.until(engine, [](const Call& c) { return c.method == "POST"; });
+  d.run(core::Abandon{d.id});
+  d.run(core::ProbeEngine{7});  // goes out on another connection, as a DELETE would
+  d.wait<core::ProbeEnded>();
+  EXPECT_EQ(engine.calls.count(gone), 0U);
+  answer.set_value();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+  EXPECT_EQ(engine.calls.count(gone), 1U);
+}
+
+TEST(Engines, NewsAreAskedForAgainWhenAConnectionBreaksAndTheStatementIsNotSentTwice) {
+  std::atomic<int> polls = 0;
+  HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
+    if (call.method == "POST") return http(202);
+    if (polls++ == 0) return std::nullopt;
+    return rows("x\n");
+  });
+  Driven d(engine);
+  d.start();
+  const auto ended = d.wait<core::AttemptEnded>();
+  EXPECT_EQ(ended.end, AttemptEnd::served);
+  EXPECT_EQ(ended.body, "x\n");
+  EXPECT_EQ(ended.work, core::Time(5ms));
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
+TEST(Engines, OnlyTheMarkProvesThatNothingRan) {
+  const std::pair<std::string, AttemptEnd> kAnswers[] = {
+      {http(503, {}, "X-Shed: 1\r\n"), AttemptEnd::turned_away},
+      {http(503), AttemptEnd::error},
+      {http(504, {}, "X-Shed: 1\r\n"), AttemptEnd::expired},
+      {http(504), AttemptEnd::error},
+      {http(500), AttemptEnd::error},
+      {http(200, "x\n", "Result-Pages: -1\r\n"), AttemptEnd::error},
+      {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", AttemptEnd::reset}};
+  for (const auto& [answer, expected] : kAnswers) {
+    const bool cut = expected == AttemptEnd::reset;
+    std::atomic<bool> told = false;
+    Server server([&, bytes = answer](Socket& socket) {
+      read_call(socket);
+      socket.send(bytes);
+      if (!cut) socket.ended();
+    });
+    HttpEngine unused([](const Call&) { return http(500); });
+    Driven d(unused);
+    d.run(core::EngineMoved{7, server.address()});
+    d.start();
+    EXPECT_EQ(d.wait<core::AttemptEnded>().end, expected) << answer;
+  }
+}
+
+TEST(Engines, AProbeTellsTheReportAndARefusedConnectionThatNothingRan) {
+  HttpEngine engine([](const Call&) { return http(500); });
+  Driven d(engine);
+  d.run(core::ProbeEngine{7});
+  EXPECT_EQ(d.wait<core::ProbeEnded>().load, (std::vector<double>{0, 0.1, 0.1}));
+  engine.server.stop();
+  d.run(core::StartAttempt{d.id, 7});
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::not_connected);
+}
+
+}  // namespace
+}  // namespace bellstair::test
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
 #include <sys/wait.h>
@@ -343,13 +344,16 @@
 // The program, from its start to its end.
 class Program {
  public:
-  Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment = {}) {
+  Program(std::vector<std::string> arguments, std::map<std::string, std::string> environment = {},
+          rlim_t files = 0) {
     int out[2];
     if (::pipe2(out, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(out[1], STDERR_FILENO);
       for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
+      const rlimit most{files, files};
+      if (files != 0) ::setrlimit(RLIMIT_NOFILE, &most);
       std::vector<char*> argv{const_cast<char*>(BELLSTAIR_PROGRAM)};
       for (auto& argument : arguments) argv.push_back(argument.data());
       argv.push_back(nullptr);
@@ -403,7 +407,7 @@
 class Broker {
  public:
   explicit Broker(const std::vector<std::pair<std::string, std::string>>& engines, const json& fronts = {},
-                  std::function<void(json&)> change = {}) {
+                  rlim_t files = 0) {
     json all = json::array();
     for (const auto& [id, at] : engines) all.push_back(server(id, at));
     changes.push(std::move(all), true);
@@ -414,14 +418,13 @@
                 {"changelog", changes.address()},
                 {"known", changes.known()},
                 {"settings", settings()}};
-    if (change) change(config);
     std::vector<std::string> arguments{"serve", "--config", files_.emplace_back(temporary(config.dump()))};
     if (!fronts.is_null()) {
       arguments.emplace_back("--fronts");
       arguments.push_back(files_.emplace_back(temporary(fronts.dump())));
     }
-    program =
-        std::make_unique<Program>(arguments, std::map<std::string, std::string>{{"TEST_SECRET", "secret"}});
+    program = std::make_unique<Program>(arguments,
+                                        std::map<std::string, std::string>{{"TEST_SECRET", "secret"}}, files);
     address = program->listens("listen");
     program->said("phase: serving");
   }
--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -23,6 +23,7 @@
       : answer_(std::move(answer)), server([this](Socket& socket) { serve(socket); }) {}
   Log<Executed> executed;
   Log<std::string> prepared, killed;
+  std::function<void()> on_prepare;
 
  private:
   void serve(Socket& socket) {
@@ -47,6 +48,7 @@
         const auto id = static_cast<std::uint32_t>(statements.size() + 1);
         statements[id] = payload.substr(1);
         prepared.add(payload.substr(1));
+        if (on_prepare) on_prepare();
         wire.give(my::write_prepared({id, 0, 1}));
         wire.give(my::write_column("?", my::kTypeVarString));
         wire.give(my::write_eof());
@@ -217,6 +219,26 @@
   EXPECT_EQ(two.prepared.count([](const auto&) { return true; }), 1U);
 }
 
+// An execute must not leave once the engine drains, though its prepare has left before.
+TEST(Mysql, WhatIsBeingPreparedWhenItsEngineDrainsIsExecutedElsewhere) {
+  const auto answer = [](const Executed&) { return MysqlEngine::Rows{{"x"}}; };
+  MysqlEngine one(answer), two(answer);
+  std::promise<void> go_on;
+  one.on_prepare = [wait = go_on.get_future().share()] { wait.wait(); };
+  MysqlBroker broker({{"s-00000001", one.server.address()}}, true);
+  MysqlClient client(broker.mysql);
+  const auto statement = client.prepare("SELECT a FROM sales_17.x WHERE b = ?");
+  client.wire.command(my::write_execute({statement, {"1"s}, {}}, true));
+  one.prepared.wait([](const std::string&) { return true; });
+  broker.changes.push({server("s-00000001", one.server.address(), "terminating"),
+                       server("s-00000002", two.server.address())});
+  broker.changes.wait_until_told();
+  go_on.set_value();
+  EXPECT_EQ(client.result(client.wire.take(), true).size(), 1U);
+  EXPECT_EQ(one.executed.count([](const Executed&) { return true; }), 0U);
+  EXPECT_EQ(two.executed.count([](const Executed&) { return true; }), 1U);
+}
+
 TEST(Mysql, AStatementPastItsDeadlineIsKilledWhereItRuns) {
   std::promise<void> over;
   MysqlEngine engine([&, wait = over.get_future().share()](const Executed&) {
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -152,6 +152,20 @@
   EXPECT_EQ(body(good.answer()), "x\ty\tz\n");
 }
 
+// A connection left waiting for want of descriptors would wake the loop for ever.
+TEST(Platform, OutOfDescriptorsItTurnsAwayWhatComesAndServesTheRest) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}}, {}, 24);
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+  std::vector<Socket> crowd;
+  for (int i = 0; i < 40; ++i) crowd.push_back(Socket::to(broker.address));
+  EXPECT_TRUE(crowd.back().ended());
+  client.ask(2, "lookup", kSelect);
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+}
+
 TEST(Platform, AnEngineThatTalksNonsenseIsAnErrorAndNoMore) {
   HttpEngine engine([](const Call&) { return "HTTP/9.9 what\r\n\r\n"; });
   Broker broker({{"s-00000001", engine.server.address()}});
