Ask for a statement's news when its connection falls silent

Now, after 1.2 s without the word that is due within 250 ms, the news are asked for on another connection; the statement is not sent again. If no connection comes up the attempt ends as reset. A connection that is given up is reset, so that a machine that comes back gets nothing more of it.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -49,7 +49,10 @@
   stirred_.push_back(connection.engine);
 }
 
-void Pool::discard(Connection& connection) { remove(connection); }
+void Pool::discard(Connection& connection) {
+  connection.stream.abort();
+  remove(connection);
+}
 
 void Pool::remove(Connection& connection) {
   auto& engine = engines_[connection.engine];
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -60,6 +60,12 @@
   fd_.reset();
 }
 
+void Stream::abort() {
+  const linger at_once{1, 0};
+  if (fd_) ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+  close();
+}
+
 void Stream::pause(bool on) {
   paused_ = on;
   if (fd_) watch();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -32,6 +32,9 @@
   bool write(std::string_view bytes);
   // No handler is called any more; the descriptor is closed at once. Safe from within a handler.
   void close();
+  // As close(), and what the peer has not got by now it never gets: a machine that was cut off may come back,
+  // and the system would go on sending for it.
+  void abort();
   void pause(bool on);  // stops or resumes reading
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -55,7 +55,7 @@
   connection.lost = [this, serial, &reader](bool clean) {
     finish(serial, clean && reader.finish() ? End::answered : End::broken);
   };
-  if (patience > core::Time::zero()) patience_.arm(now_ + patience, serial);
+  patience_.arm(now_ + patience, serial);
   connection.stream.write(bytes);  // if it fails, `lost` follows
   return serial;
 }
@@ -139,7 +139,7 @@
   const auto id = effect.id;
   attempt.call =
       call(*attempt.connection, http_call("POST", "/v1/store", host(attempt.engine), headers, effect.body),
-           core::Time::zero(), [this, id](End end, HttpAnswer& answer) { answered(id, end, answer); });
+           kSilence, [this, id](End end, HttpAnswer& answer) { answered(id, end, answer); });
 }
 
 void Engines::run(const core::Abandon& effect) {
@@ -237,7 +237,11 @@
   if (how != End::answered) {
     if (attempt.stage == Stage::leaving) return give_up(id);
     // Once a byte of a statement has left, it may have run, and is never sent again from here.
-    if (posting) return end(id, how == End::unsent ? AttemptEnd::expired : AttemptEnd::reset);
+    if (posting && how != End::silent)
+      return end(id, how == End::unsent ? AttemptEnd::expired : AttemptEnd::reset);
+    // Silence tells nothing: the engine may run it and only this connection be lost. It is asked for its
+    // news.
+    attempt.stage = attempt.stage == Stage::posted ? Stage::polling : attempt.stage;
     return reconnect(id);
   }
   attempt.reconnects = 0;
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -128,6 +128,22 @@
   EXPECT_EQ(engine.posts(), 1U);
 }
 
+// A connection can be lost without a word, as when a machine is cut off for a while.
+TEST(Engines, AStatementWithoutAWordIsAskedForOnAnotherConnectionAndNotSentTwice) {
+  std::promise<void> over;
+  HttpEngine engine([&, wait = over.get_future().share()](const Call& call) {
+    if (call.method == "POST") wait.wait();
+    return rows("x\n");
+  });
+  Driven d(engine);
+  d.start();
+  d.until(engine, [](const Call& c) { return c.method == "POST"; });
+  d.ahead = 2s;
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::served);
+  EXPECT_EQ(engine.posts(), 1U);
+  over.set_value();
+}
+
 TEST(Engines, OnlyTheMarkProvesThatNothingRan) {
   const std::pair<std::string, AttemptEnd> kAnswers[] = {
       {http(503, {}, "X-Shed: 1\r\n"), AttemptEnd::turned_away},
