Answer no cancel under an id that a request has had

A cancel that carries the id of the request it means would have been acknowledged under that id: to the client a second, unreadable answer (src/platform/front.cpp, cancel).

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -103,6 +103,7 @@
       connection.stream.write(rpc_error(request.id, kRpcRefused, "too many open requests"));
       return;
     }
+    connection.last_id = std::max(connection.last_id, request.id);
     const auto client = ++handles_;
     connection.open[request.id] = client;
     open_[client] = {connection.serial, request.id, request.asked.ticket};
@@ -113,7 +114,10 @@
 
 void Front::cancel(Connection& connection, const RpcCancel& message) {
   auto found = connection.open.end();
-  if (message.request) found = connection.open.find(*message.request);
+  // The call's own id may be that of the request it means.
+  const bool own_id = message.id && *message.id > connection.last_id;
+  if (message.id && !own_id) found = connection.open.find(*message.id);
+  if (message.request && found == connection.open.end()) found = connection.open.find(*message.request);
   if (found == connection.open.end() && !message.ticket.empty()) {
     found = std::ranges::find_if(connection.open,
                                  [&](const auto& o) { return open_.at(o.second).ticket == message.ticket; });
@@ -124,7 +128,8 @@
     open_.erase(client);
     post_(core::Cancelled{client});
   }
-  if (message.id)
+  // An id that a request has had gets no answer: it would be a second one.
+  if (own_id)
     connection.stream.write("{\"jsonrpc\":\"2.0\",\"id\":" + std::to_string(*message.id) +
                             ",\"result\":true}\n");
 }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -37,6 +37,7 @@
     std::uint64_t serial = 0;
     net::Stream stream;
     std::string in;
+    std::uint64_t last_id = 0;                             // of its requests
     bool ended = false;                                    // the client writes no more
     std::unordered_map<std::uint64_t, core::Client> open;  // by the client's id
     Connection(ev::loop_ref loop, net::Fd fd) : stream(loop, std::move(fd), false, kMostUnwritten) {}
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -83,6 +83,19 @@
   EXPECT_TRUE(client.green());  // the next line on the connection answers this, not the query
 }
 
+TEST(Platform, ACancelUnderTheRequestsOwnIdGetsNoAnswer) {
+  HttpEngine engine([](const Call& call) { return http(is(call, "DELETE") ? 204 : 202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(7, "lookup", kSelect);
+  engine.calls.wait(polls);
+  for (int i = 0; i < 2; ++i)
+    client.socket.send(R"({"jsonrpc":"2.0","id":7,"method":"cancel"})"
+                       "\n");
+  engine.calls.wait([](const Call& c) { return is(c, "DELETE"); });
+  EXPECT_TRUE(client.green());
+}
+
 TEST(Platform, AnAnswerThatCannotBeCompletedIsNeverServedInPart) {
   HttpEngine engine([](const Call& call) {
     return is(call, "POST") ? rows("a\tb\tc\n", 2) : http(500);  // its pages are lost
