Reload the configuration on SIGHUP and follow the change log to its new address

SIGHUP is an event now: the reducer asks for the file to be read (ReadConfiguration), what was read comes back as an event, and only where the change log listens is followed (FollowChangeLog). A bad file is one line in the log. A signal that comes before the loop runs is held back until then. The change log's hold is 1 s (was 5 s), so that a log that has stopped while staying open is noticed after 1.4 s (was 6 s).

Checked: both new tests fail when the handler is not started ("what was waited for did not happen", the program has ended). Ruled out: an address that was only read late; the logs show one read a signal.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -63,8 +63,9 @@
   return front_->unwritten() || (mysql_ && mysql_->unwritten());
 }
 
-Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts)
+Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, std::string file)
     : loop_(loop),
+      file_(std::move(file)),
       config_(std::move(config)),
       fronts_(std::move(fronts)),
       reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4),
@@ -75,7 +76,8 @@
       call_(loop),
       prepare_(loop),
       term_(loop),
-      interrupt_(loop) {
+      interrupt_(loop),
+      hangup_(loop) {
   const auto share = client_share(config_.sockets);
   front_ = std::make_unique<platform::Front>(
       loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
@@ -106,12 +108,18 @@
   prepare_.set<Broker, &Broker::on_prepare>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
+  hangup_.set<Broker, &Broker::on_hangup>(this);
 }
 
 void Broker::run() {
   std::signal(SIGPIPE, SIG_IGN);
   term_.start(SIGTERM);
   interrupt_.start(SIGINT);
+  hangup_.start(SIGHUP);
+  sigset_t heeded;
+  sigemptyset(&heeded);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&heeded, signal);
+  sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   loop_.run(0);
@@ -130,6 +138,8 @@
 
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
 
+void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
+
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
   do {
@@ -172,6 +182,21 @@
   std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
 }
 
+// Read whole, and as strictly as at the start, before anything of it is used.
+void Broker::run(const core::ReadConfiguration&) {
+  core::ConfigurationRead read;
+  try {
+    const auto again = config::parse(config::read_file(file_, "configuration"));
+    read.changelog = again.changelog;
+    for (const auto& [field, text] : again.fixed) {
+      if (text != config_.fixed.at(field)) read.fixed.push_back(field);
+    }
+  } catch (const std::exception& error) {
+    read.problem = error.what();
+  }
+  post(std::move(read));
+}
+
 void Broker::run(const core::Exit&) { loop_.break_loop(ev::ALL); }
 
 }  // namespace bellstair::app
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -26,7 +26,8 @@
 
 class Broker {
  public:
-  Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts);
+  // `file`: the configuration's, to be read again on SIGHUP.
+  Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, std::string file);
   void run();  // until it has stopped
 
  private:
@@ -35,6 +36,7 @@
   void on_call(ev::timer& timer, int events);
   void on_prepare(ev::prepare& prepare, int events);
   void on_signal(ev::sig& signal, int events);
+  void on_hangup(ev::sig& signal, int events);
   void pump();
   void admit(core::Submission& asked);
   [[nodiscard]] net::Post poster();
@@ -50,9 +52,12 @@
   void run(const core::EngineMoved& effect) { engines_->run(effect); }
   void run(const core::TellPeers& effect) { peers_.run(effect); }
   void run(const core::Log& effect);
+  void run(const core::ReadConfiguration&);
+  void run(const core::FollowChangeLog& effect) { changelog_.follow(effect.address); }
   void run(const core::Exit&);
 
   ev::loop_ref loop_;
+  std::string file_;
   config::Config config_;
   config::Fronts fronts_;
   std::uint64_t handles_ = 0;
@@ -70,7 +75,7 @@
   platform::Peers peers_;
   ev::timer tick_, call_;
   ev::prepare prepare_;
-  ev::sig term_, interrupt_;
+  ev::sig term_, interrupt_, hangup_;
 };
 
 }  // namespace bellstair::app
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -1,7 +1,9 @@
 #include "config/config.hpp"
 
 #include <charconv>
+#include <fstream>
 #include <nlohmann/json.hpp>
+#include <sstream>
 
 #include "config/read.hpp"
 #include "wire.hpp"
@@ -105,6 +107,14 @@
 
 }  // namespace
 
+std::string read_file(const std::string& path, const char* what) {
+  std::ifstream in(path, std::ios::binary);
+  std::ostringstream out;
+  if (path.empty() || !in || !(out << in.rdbuf()))
+    throw Invalid(std::string(what) + ": cannot read '" + path + "'");
+  return out.str();
+}
+
 Config parse(std::string_view in) {
   const json all = parse_json(in, "configuration");
   Config out;
@@ -145,6 +155,8 @@
   };
   out.dial_timeout = time_or("dial-timeout", 250ms);
   out.idle_close = time_or("idle-close", 30s);
+  for (const char* field : {"name", "listen", "peer_listen", "peers", "peers_all", "limits", "settings"})
+    out.fixed[field] = all.value(field, json()).dump(-1, ' ', false, json::error_handler_t::replace);
   if (const auto known = all.find("known"); known != all.end() && !known->is_null())
     out.known = parse_changes(*known, out.names);
   return out;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -41,8 +41,11 @@
   heronwell::Settings settings;
   Names names;
   Changes known;
+  std::map<std::string, std::string> fixed;  // what needs a restart to change, as text, by field
 };
 
+// Reads the file at `path`; throws Invalid, also where there is none.
+[[nodiscard]] std::string read_file(const std::string& path, const char* what);
 [[nodiscard]] Config parse(std::string_view json);
 [[nodiscard]] Changes parse_changes(std::string_view json, const Names& names);
 
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -96,12 +96,18 @@
   std::string bytes;
 };
 struct StopAsked {};
+struct ReloadAsked {};
+struct ConfigurationRead {  // again, because it was asked for
+  std::string problem;      // why it can't be used; the old one stays then
+  std::string changelog;
+  std::vector<std::string> fixed;  // fields that have changed and need a restart
+};
 struct Tick {
   bool unwritten = false;  // a front or engine driver still has something to write
 };
 
 using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptEnded,
-                           ProbeEnded, PeerHeard, StopAsked, Tick>;
+                           ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead, Tick>;
 
 // ---- effects
 
@@ -148,10 +154,14 @@
 struct Log {
   std::string text;
 };
+struct ReadConfiguration {};  // whole, then report ConfigurationRead
+struct FollowChangeLog {      // there from now on; the number of the last event carries on
+  std::string address;
+};
 struct Exit {};
 
 using Effect = std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers,
-                            EngineMoved, Log, Exit>;
+                            EngineMoved, Log, ReadConfiguration, FollowChangeLog, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace bellstair::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -234,6 +234,16 @@
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
 }
 
+// What was taken, the engines known and the module's state carry on: only where news come from may change.
+void Reducer::on(ConfigurationRead& read) {
+  if (!read.problem.empty()) return put(Log{"the configuration stays as it was: " + read.problem});
+  std::string said = "the configuration was read again";
+  for (std::size_t i = 0; i < read.fixed.size(); ++i)
+    said += (i == 0 ? "; changed, but of use only after a restart: " : ", ") + read.fixed[i];
+  put(Log{std::move(said)});
+  put(FollowChangeLog{std::move(read.changelog)});
+}
+
 void Reducer::on(const Tick& tick) {
   wheel_.advance(now_, [this](const Alarm& alarm) { on(alarm); });
   // What stays in the table without an answer owed waits for engines to hear that it was given up.
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -64,6 +64,8 @@
   void on(ProbeEnded& ended);
   void on(PeerHeard& heard);
   void on(const StopAsked&);
+  void on(const ReloadAsked&) { put(ReadConfiguration{}); }
+  void on(ConfigurationRead& read);
   void on(const Tick& tick);
   void on(const Alarm& alarm);
 
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,11 +1,9 @@
 // The command line.
 #include <getopt.h>
 
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
-#include <fstream>
-#include <iostream>
-#include <sstream>
 #include <string>
 
 #include "app/broker.hpp"
@@ -61,14 +59,6 @@
   return out;
 }
 
-std::string read_file(const std::string& path, const char* what) {
-  std::ifstream in(path, std::ios::binary);
-  std::ostringstream out;
-  if (path.empty() || !in || !(out << in.rdbuf()))
-    throw bellstair::config::Invalid(std::string(what) + ": cannot read '" + path + "'");
-  return out.str();
-}
-
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -79,6 +69,12 @@
   }
   if (options.command != "serve" && options.command != "check-config")
     usage_error("unknown command '" + options.command + "'");
+  // A signal that comes before the program can heed it waits; Broker::run() lets it through.
+  sigset_t held;
+  sigemptyset(&held);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held, signal);
+  if (options.command == "serve") sigprocmask(SIG_BLOCK, &held, nullptr);
+  using bellstair::config::read_file;
   try {
     auto config = bellstair::config::parse(read_file(options.config, "configuration"));
     bellstair::config::Fronts fronts;
@@ -91,7 +87,7 @@
       return 0;
     }
     ev::default_loop loop(0);
-    bellstair::app::Broker(loop, std::move(config), std::move(fronts)).run();
+    bellstair::app::Broker(loop, std::move(config), std::move(fronts), options.config).run();
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "bellstair: %s\n", error.what());
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -9,8 +9,11 @@
 constexpr core::Time kRetry = 100ms;  // after a call that failed
 constexpr core::Time kDial = 250ms;
 constexpr unsigned kFailuresToServe = 5;
-constexpr auto kHold = 5000ms;                // the change log may hold a call for so long
-constexpr core::Time kPatience = kHold + 1s;  // beyond that its machine has vanished
+// The change log holds a call for so long. A log that has stopped, its connections open, shows only by an
+// answer that stays away after that: the shorter the wait, the less is missed. Empty answers cost next to
+// nothing.
+constexpr auto kHold = 1000ms;
+constexpr core::Time kPatience = kHold + 400ms;
 constexpr std::size_t kMostAnswer = std::size_t{4} << 20;
 }  // namespace
 
@@ -34,6 +37,16 @@
   }
 }
 
+void ChangeLog::follow(const std::string& address) {
+  if (address == address_) return;
+  address_ = address;
+  if (stream_) {
+    stream_->close();
+    old_ = std::move(stream_);
+  }
+  dial();
+}
+
 void ChangeLog::dial() {
   waiting_ = false;
   patience_ = now_ + kDial;
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -20,6 +20,8 @@
   ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
             Post post);
   void tick(core::Time now);
+  // Moves to another address at once, from the last whole event on.
+  void follow(const std::string& address);
 
  private:
   void dial();
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -142,6 +142,51 @@
   EXPECT_EQ(broker.program->wait(), 0);
 }
 
+TEST(Platform, SighupFollowsTheChangeLogAndKeepsWhatWasTaken) {
+  std::atomic<bool> done = false;
+  HttpEngine one([&](const Call&) { return done ? rows("1\t1\t1\n") : http(202); });
+  HttpEngine two([](const Call&) { return rows("2\t2\t2\n"); });
+  Broker broker({{"s-00000001", one.server.address()}});
+  broker.changes.wait_until_told();
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect);
+  one.calls.wait(polls);
+  ChangeLog moved;  // numbering continues there
+  moved.push({server("s-00000001", one.server.address())}, true);
+  broker.config["changelog"] = moved.address();
+  broker.config["peers_all"] = "127.0.0.1:9";
+  for (int i = 0; i < 3; ++i) broker.reload(broker.config.dump());
+  moved.wait_until_told();
+  broker.program->said("a restart: peers_all");
+  moved.push({server("s-00000001", one.server.address(), "terminating"),
+              server("s-00000002", two.server.address())});
+  moved.wait_until_told();
+  client.ask(2, "lookup", kSelect, {{"txn", "00000000000000aa"}});
+  EXPECT_EQ(body(client.answer()), "2\t2\t2\n");
+  done = true;
+  EXPECT_EQ(body(client.answer()), "1\t1\t1\n");
+}
+
+TEST(Platform, SighupWithABadFileChangesNothingAndNeitherDoesOneWhileDraining) {
+  std::atomic<bool> done = false;
+  HttpEngine engine([&](const Call&) { return done ? rows("x\ty\tz\n") : http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client client(broker.address);
+  client.ask(1, "lookup", kSelect);
+  engine.calls.wait(polls);
+  broker.reload(R"({"listen": "127.0.0.1:0", "changelog": )");
+  broker.program->said("the configuration stays as it was: configuration: is not a JSON object");
+  broker.changes.push({server("s-00000002", engine.server.address())});
+  broker.changes.wait_until_told();  // still followed
+  broker.program->signal(SIGTERM);
+  broker.program->said("phase: draining");
+  broker.reload(broker.config.dump());
+  broker.program->said("the configuration was read again");
+  done = true;
+  EXPECT_EQ(body(client.answer()), "x\ty\tz\n");
+  EXPECT_EQ(broker.program->wait(), 0);
+}
+
 TEST(Platform, BadInputHarmsNobodyElse) {
   HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
   Broker broker({{"s-00000001", engine.server.address()}});
