Keep bad clients from resting engines, using up shares and taking places

Bad clients' requests that look like any other reach engines, which answer 500; the module sent each to up to four engines and rested all of them (choice.cpp, judge(): Result::error went to judge_failed() at once). Besides, 200 requests withdrawn at once used up their tenant's share (on(ClientLeft) gave nothing back), and silent connections and half requests stayed until others needed their place.

Changed, module: an error is blamed on an engine only once another has served the request; what two engines that otherwise do well cannot use is given up at once; the bar for a rest rises with what all engines do alike; what was withdrawn unsent uses no share. Core: the ticket of an open request is not taken for another. Front: 2 s for a whole line; endless lines get an error that can be read (half-close, the rest is dropped); 64 useless lines end a connection; strangers are closed first to make room; estimates beyond sense and deep nesting are errors.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -128,6 +128,7 @@
 void Broker::on_tick(ev::timer&, int) {
   const auto now = unix_now();
   engines_->tick(now);
+  front_->tick(now);
   if (mysql_) mysql_->tick(now);
   if (directory_) directory_->tick(now);
   changelog_.tick(now);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -85,8 +85,10 @@
 
 // Health.
 constexpr double kErrorStep = 0.25;  // weight of one outcome in an engine's error share
-constexpr double kErrorTop = 0.4;    // error share at which an engine is rested: two errors in a row
-constexpr Time kAliveSoon = 500ms;   // no process ends and begins anew in less
+constexpr double kErrorTop = 0.4;    // error share at which an engine is rested: two errors in a row;
+constexpr double kAlike = 4;         // and so many times the fleet's share on top: what all engines do alike
+constexpr double kFleetErrors = 0.01;            // weight of one outcome in the fleet's error share
+constexpr Time kAliveSoon = 500ms;               // no process ends and begins anew in less
 constexpr Time kFirstRest = 1s, kMostRest = 4s;  // before the first trial; doubled at each failed one
 constexpr double kSilentAnswers = 6;  // answers overdue, by usual times, before silence is believed
 constexpr double kSilentEach = 3;     // of them for one attempt: a single long query is no silence
@@ -294,7 +296,12 @@
   }
 
   void on(const ClientLeft& left) {
-    if (auto* request = find(left.request); request != nullptr && request->open) close(*request);
+    auto* request = find(left.request);
+    if (request == nullptr || !request->open) return;
+    // Withdrawn before it was sent anywhere, it has used nothing of its tenant's share.
+    const auto tenant = request->asked.tenant;
+    if (request->attempts.empty() && tenant < tokens_.size()) tokens_[tenant] += 1;
+    close(*request);
   }
 
   Request* find(RequestId id) {
@@ -479,13 +486,28 @@
   void again(Request& request) {
     const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
     const bool can = std::ranges::any_of(ready_, may);
-    if (!can || request.attempts.size() >= s_.max_attempts || !within_retry_budget()) return finish(request);
+    if (!can || request.attempts.size() >= s_.max_attempts || !within_retry_budget() || at_fault(request))
+      return finish(request);
     hold(request, true);
   }
 
+  // Two engines that otherwise do well have said no to it: a third would too.
+  bool at_fault(const Request& request) const {
+    std::set<EngineId> said;
+    for (const auto& attempt : request.attempts) {
+      const auto at = engines_.find(attempt.engine);
+      if (attempt.result == Result::error && !attempt.out && at != engines_.end() &&
+          at->second.errors < kErrorStep)
+        said.insert(attempt.engine);
+    }
+    return said.size() > 1;
+  }
+
   void judge(Engine& engine, const Request& request, const Outcome& outcome) {
     const auto result = outcome.result;
     if (result == Result::served) return judge_served(engine, request, outcome);
+    // The statement may be at fault. Where another engine can be asked, its answer tells.
+    if (result == Result::error && set(request).effect != Effect::unsafe) return;
     if (result == Result::error) return judge_failed(engine, kErrorStep);
     if (result == Result::turned_away && level() < 0) return rest(engine, "is full");
     if (result == Result::turned_away)
@@ -511,6 +533,13 @@
     engine.heard = now_;
     alive(engine, now_);
     engine.errors -= kErrorStep * engine.errors;
+    fleet_errors_ -= kFleetErrors * fleet_errors_;
+    for (const auto& attempt : request.attempts) {
+      const auto failed = engines_.find(attempt.engine);
+      if (attempt.result == Result::error && !attempt.out && failed != engines_.end() &&
+          &failed->second != &engine)
+        judge_failed(failed->second, kErrorStep);
+    }
     if (engine.health == Health::trial) {
       engine.health = Health::well;
       engine.rest = Time::zero();
@@ -547,7 +576,9 @@
   // Engines that error at once look fast and roomy.
   void judge_failed(Engine& engine, double step) {
     engine.errors += step * (1 - engine.errors);
-    if (engine.health == Health::trial || engine.errors >= kErrorTop) rest(engine, "fails its queries");
+    fleet_errors_ += kFleetErrors * (1 - fleet_errors_);
+    if (engine.health == Health::trial || engine.errors >= std::min(0.95, kErrorTop + kAlike * fleet_errors_))
+      rest(engine, "fails its queries");
   }
 
   void rest(Engine& engine, const char* why) {
@@ -1042,6 +1073,7 @@
   double mean_threads_ = 0;              // a query, over the classes
   double own_threads_ = 0;               // that run here, of late
   double scatter_ = 1;                   // of reports, see kScatter
+  double fleet_errors_ = 0;              // share of all engines' outcomes of late
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -133,6 +133,9 @@
   if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
+  // Engines know a query by its ticket: another under the same would get the first one's answer.
+  if (!asked.ticket.empty() && !tickets_.insert(asked.ticket).second)
+    return put(Answer{asked.client, AnswerKind::failed, {}, {}, {}});
   const auto id = ++last_request_;
   heronwell::Arrival arrival;
   arrival.request = id;
@@ -352,6 +355,7 @@
   const auto over = [](const Attempt& attempt) { return attempt.stage == Stage::over; };
   if (std::ranges::all_of(found->second.attempts, over)) {
     held_bytes_ -= weight(found->second.asked);
+    tickets_.erase(found->second.asked.ticket);
     requests_.erase(found);
   }
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "core/events.hpp"
@@ -95,6 +96,7 @@
   TimerWheel<Alarm> wheel_{kTick};
   std::unordered_map<RequestId, Request> requests_;
   std::unordered_map<Client, RequestId> by_client_;
+  std::unordered_set<std::string> tickets_;  // of the requests held
   std::unordered_map<EngineId, Member> members_;
   std::unordered_map<EngineId, std::vector<Time>> probes_;  // when each one that is out was sent
   std::vector<heronwell::Event> news_;                      // for the module's next call
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -66,6 +66,11 @@
   close();
 }
 
+void Stream::finish() {
+  finishing_ = true;
+  if (fd_ && unwritten() == 0) ::shutdown(fd_.get(), SHUT_WR);
+}
+
 void Stream::pause(bool on) {
   paused_ = on;
   if (fd_) watch();
@@ -129,6 +134,7 @@
     written_ += static_cast<std::size_t>(sent);
   }
   if (unwritten() == 0) {
+    if (finishing_) ::shutdown(fd_.get(), SHUT_WR);
     out_.clear();
     out_at_ = 0;
     if (out_.capacity() > std::size_t{16} * 1024) out_.shrink_to_fit();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -36,6 +36,9 @@
   // and the system would go on sending for it.
   void abort();
   void pause(bool on);  // stops or resumes reading
+  // Nothing is written any more; once all has left, the peer is told so. Reading goes on: to close with input
+  // unread would reset the connection, and take from the peer what it has not read yet.
+  void finish();
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
@@ -52,7 +55,7 @@
 
   ev::io io_;
   Fd fd_;
-  bool dialling_, paused_ = false, ended_ = false, failed_ = false;
+  bool dialling_, paused_ = false, ended_ = false, failed_ = false, finishing_ = false;
   std::size_t most_unwritten_;
   std::string out_;
   std::size_t out_at_ = 0, written_ = 0;
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -4,6 +4,12 @@
 #include <cstdio>
 
 namespace bellstair::platform {
+namespace {
+using namespace std::chrono_literals;
+// A client is owed an answer, an error or a close within 3 s: so long for a first request, and for any line
+// to come whole; and so long to read the last word, while what it still sends is read and dropped.
+constexpr core::Time kWhole = 2s, kLinger = 800ms;
+}  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::Names& names, std::size_t most_connections,
              std::uint64_t& handles, std::function<bool()> green, Post post)
@@ -15,17 +21,26 @@
       post_(std::move(post)),
       listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
 
-// A connection without an open request may be closed at any time.
+// A connection without an open request may be closed at any time: first those that never asked for anything.
 bool Front::make_room() {
   if (connections_.size() < most_connections_) return true;
-  Connection* oldest = nullptr;
-  for (const auto& [serial, connection] : connections_) {
-    const bool idle =
-        connection->open.empty() && connection->in.empty() && connection->stream.unwritten() == 0;
-    if (idle && (oldest == nullptr || serial < oldest->serial)) oldest = connection.get();
+  for (const auto rank : {Rank::stranger, Rank::idle}) {
+    auto& list = ranks_[static_cast<std::size_t>(rank)];
+    if (list.empty()) continue;
+    close(*list.front());
+    return true;
   }
-  if (oldest != nullptr) close(*oldest);
-  return oldest != nullptr;
+  return false;
+}
+
+void Front::rank(Connection& connection) {
+  const bool busy = !connection.leaving && (!connection.open.empty() || connection.stream.unwritten() > 0);
+  const auto rank = busy ? Rank::busy : connection.asked && !connection.leaving ? Rank::idle : Rank::stranger;
+  if (rank == connection.rank) return;
+  auto& from = ranks_[static_cast<std::size_t>(connection.rank)];
+  auto& to = ranks_[static_cast<std::size_t>(rank)];
+  to.splice(to.end(), from, connection.place);
+  connection.rank = rank;
 }
 
 void Front::accept(net::Fd fd) {
@@ -33,7 +48,11 @@
   auto made = std::make_unique<Connection>(loop_, std::move(fd));
   auto& connection = *made;
   connection.serial = ++serial_;
+  connection.since = now_;
+  auto& strangers = ranks_[static_cast<std::size_t>(Rank::stranger)];
+  connection.place = strangers.insert(strangers.end(), &connection);
   connections_.emplace(connection.serial, std::move(made));
+  watch(connection, now_ + kWhole);
   connection.stream.handle({
       .connected = {},
       .data = [this, &connection](std::string_view bytes) { take(connection, bytes); },
@@ -46,49 +65,98 @@
       .closed = [this, &connection] { close(connection); },
       .drained =
           [this, &connection] {
-            if (connection.ended && connection.open.empty()) close(connection);
+            if (connection.ended && !connection.leaving && connection.open.empty()) return close(connection);
+            rank(connection);
           },
   });
 }
 
+void Front::watch(Connection& connection, core::Time until) {
+  if (std::exchange(connection.watched, true)) return;
+  watches_.arm(until, connection.serial);
+}
+
+// Clients that say nothing, or never end what they say, hold what others need.
+void Front::tick(core::Time now) {
+  now_ = now;
+  watches_.advance(now, [this](std::uint64_t serial) {
+    const auto found = connections_.find(serial);
+    if (found == connections_.end()) return;
+    auto& connection = *found->second;
+    connection.watched = false;
+    if (connection.leaving) return close(connection);
+    if (connection.spoken && connection.in.empty()) return;
+    if (now_ < connection.since + kWhole) return watch(connection, connection.since + kWhole);
+    dismiss(connection, "no whole request came");
+  });
+}
+
 void Front::close(Connection& connection) {
   for (const auto& [id, client] : connection.open) {
     open_.erase(client);
     post_(core::Cancelled{client});
   }
   connection.open.clear();
+  partial_ -= std::exchange(connection.in, {}).size();
   connection.stream.close();
   const auto found = connections_.find(connection.serial);
+  if (found == connections_.end()) return;
+  ranks_[static_cast<std::size_t>(connection.rank)].erase(connection.place);
   gone_.push_back(std::move(found->second));
   connections_.erase(found);
 }
 
+void Front::dismiss(Connection& connection, std::string_view why) {
+  // What is open on it was taken, and is answered first.
+  if (connection.open.empty()) connection.leaving = true;
+  connection.stream.write(rpc_error(std::nullopt, -32600, why));
+  partial_ -= std::exchange(connection.in, {}).size();
+  connection.ended = true;
+  if (!connection.leaving) return;
+  connection.stream.finish();
+  rank(connection);
+  connection.watched = false;
+  watch(connection, now_ + kLinger);
+}
+
+void Front::strike(Connection& connection, const std::string& reply) {
+  connection.stream.write(reply);
+  if (++connection.strikes == kMostStrikes) dismiss(connection, "too many lines of no use");
+}
+
 void Front::take(Connection& connection, std::string_view bytes) {
   // Lines that have come whole are read in place; only a line cut in two is kept.
-  while (connection.stream.open()) {
+  while (connection.stream.open() && !connection.ended) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
     if (connection.in.empty()) {
       take_line(connection, bytes.substr(0, end));
     } else {
+      partial_ -= connection.in.size();
       const auto whole = std::exchange(connection.in, {}).append(bytes.substr(0, end));
       take_line(connection, whole);
     }
     bytes.remove_prefix(end + 1);
   }
-  if (!connection.stream.open()) return;
-  if (connection.in.size() + bytes.size() > kMostLine) {
-    connection.stream.write(rpc_error(std::nullopt, -32600, "a line is too long"));
-    return close(connection);
+  if (!connection.stream.open() || connection.ended) return;
+  rank(connection);
+  if (bytes.empty()) return;
+  if (connection.in.size() + bytes.size() > kMostLine || partial_ + bytes.size() > kMostPartial)
+    return dismiss(connection, "a line is too long");
+  if (connection.in.empty() && connection.spoken) {
+    connection.since = now_;
+    watch(connection, now_ + kWhole);
   }
+  partial_ += bytes.size();
   connection.in.append(bytes);
 }
 
 void Front::take_line(Connection& connection, std::string_view line) {
   if (line.find_first_not_of(" \t\r") == std::string_view::npos) return;
+  connection.spoken = true;
   auto message = parse_rpc(line, names_);
   if (const auto* error = std::get_if<RpcError>(&message)) {
-    connection.stream.write(rpc_error(error->id, error->code, error->message));
+    strike(connection, rpc_error(error->id, error->code, error->message));
   } else if (const auto* health = std::get_if<RpcHealth>(&message)) {
     connection.stream.write(rpc_health(health->id, green_()));
   } else if (const auto* cancelled = std::get_if<RpcCancel>(&message)) {
@@ -96,13 +164,12 @@
   } else {
     auto& request = std::get<RpcRequest>(message);
     if (connection.open.contains(request.id)) {
-      connection.stream.write(rpc_error(std::nullopt, -32600, "the id is in use"));
-      return;
+      return strike(connection, rpc_error(std::nullopt, -32600, "the id is in use"));
     }
     if (connection.open.size() >= kMostOpen) {
-      connection.stream.write(rpc_error(request.id, kRpcRefused, "too many open requests"));
-      return;
+      return strike(connection, rpc_error(request.id, kRpcRefused, "too many open requests"));
     }
+    connection.asked = true;
     connection.last_id = std::max(connection.last_id, request.id);
     const auto client = ++handles_;
     connection.open[request.id] = client;
@@ -155,7 +222,11 @@
       connection.stream.write(rpc_error(open.id, kRpcTimedOut, "timed out", answer.pause));
       break;
   }
-  if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) close(connection);
+  if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) {
+    close(connection);
+  } else {
+    rank(connection);
+  }
   return true;
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -3,7 +3,9 @@
 
 #include <ev++.h>
 
+#include <array>
 #include <functional>
+#include <list>
 #include <memory>
 #include <string>
 #include <unordered_map>
@@ -11,6 +13,7 @@
 
 #include "config/config.hpp"
 #include "core/events.hpp"
+#include "core/wheel.hpp"
 #include "net/stream.hpp"
 #include "platform/jsonrpc.hpp"
 
@@ -26,19 +29,33 @@
   // False: the client is not one of this front's.
   bool run(const core::Answer& answer);
   void settle() { gone_.clear(); }
+  void tick(core::Time now);
   [[nodiscard]] bool unwritten() const;
 
  private:
   static constexpr std::size_t kMostLine = std::size_t{256} * 1024;
   static constexpr std::size_t kMostUnwritten = std::size_t{4} << 20;
+  static constexpr std::size_t kMostPartial = std::size_t{4}
+                                              << 20;  // of lines cut in two, all clients together
+  static constexpr unsigned kMostStrikes = 64;        // lines of no use, on one connection
   static constexpr std::size_t kMostOpen = 32;
 
+  // In the order in which they are closed to make room. Busy ones never are.
+  enum class Rank { stranger, idle, busy };
   struct Connection {
     std::uint64_t serial = 0;
     net::Stream stream;
     std::string in;
-    std::uint64_t last_id = 0;                             // of its requests
-    bool ended = false;                                    // the client writes no more
+    std::uint64_t last_id = 0;  // of its requests
+    bool ended = false;         // the client writes no more
+    bool spoken = false;        // a whole line has come
+    bool asked = false;         // a request was taken
+    bool leaving = false;       // has its last word; what comes is not read
+    bool watched = false;       // a timer is armed for it
+    unsigned strikes = 0;
+    core::Time since{};  // it was accepted, the line that is not whole began, or its last word was said
+    Rank rank = Rank::stranger;
+    std::list<Connection*>::iterator place;
     std::unordered_map<std::uint64_t, core::Client> open;  // by the client's id
     Connection(ev::loop_ref loop, net::Fd fd) : stream(loop, std::move(fd), false, kMostUnwritten) {}
   };
@@ -52,6 +69,11 @@
   void take_line(Connection& connection, std::string_view line);
   void cancel(Connection& connection, const RpcCancel& message);
   void close(Connection& connection);
+  // The client's last word from here; closed once it has had time to read that.
+  void dismiss(Connection& connection, std::string_view why);
+  void strike(Connection& connection, const std::string& reply);
+  void watch(Connection& connection, core::Time until);
+  void rank(Connection& connection);
   bool make_room();
 
   ev::loop_ref loop_;
@@ -64,7 +86,11 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::Client, Open> open_;
   std::vector<std::unique_ptr<Connection>> gone_;
+  std::array<std::list<Connection*>, 3> ranks_;  // by Rank, the one longest there in front
+  core::TimerWheel<std::uint64_t> watches_{std::chrono::milliseconds(5)};
+  std::size_t partial_ = 0;  // bytes of lines cut in two
   std::uint64_t serial_ = 0;
+  core::Time now_{};
 };
 
 }  // namespace bellstair::platform
--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -15,6 +15,9 @@
 constexpr int kParseError = -32700, kInvalidRequest = -32600, kUnknownMethod = -32601,
               kInvalidParams = -32602;
 constexpr double kMostLimitMs = 3'600'000;
+// Estimates beyond these are no estimates, and would mislead the module about all other requests.
+constexpr double kMostCpuMs = 1e7, kMostRamMb = 1e7;
+constexpr int kMostDepth = 8;  // of brackets
 constexpr std::size_t kMostKey = 128;
 
 struct Bad {
@@ -31,12 +34,12 @@
   return found->get<std::string>();
 }
 
-std::optional<double> number(const json& params, const char* key) {
+std::optional<double> number(const json& params, const char* key, double most) {
   const auto found = params.find(key);
   if (found == params.end() || found->is_null()) return std::nullopt;
   if (!found->is_number()) throw Bad{std::string(key) + " is not a number"};
   const double value = found->get<double>();
-  if (!(value >= 0 && value <= 1e12)) throw Bad{std::string(key) + " is out of range"};
+  if (!(value >= 0 && value <= most)) throw Bad{std::string(key) + " is out of range"};
   return value;
 }
 
@@ -62,8 +65,8 @@
   // It is part of a path too.
   if (out.ticket.size() != 16) throw Bad{"txn is not 16 hex digits"};
   hex(out.ticket, "txn");
-  const auto limit = number(params, "limit");
-  if (!limit || *limit > kMostLimitMs) throw Bad{"limit is missing or out of range"};
+  const auto limit = number(params, "limit", kMostLimitMs);
+  if (!limit) throw Bad{"limit is missing"};
   out.limit = core::Time(static_cast<std::int64_t>(*limit * 1e6));
   if (const auto team = text(params, "team", false); !team.empty()) {
     const auto found = names.tenants.find(team);
@@ -74,8 +77,9 @@
     out.repeat = second->is_boolean() ? second->get<bool>() : !(second->is_number() && *second == 0);
   out.nonce = text(params, "unique", false);
   printable(out.nonce, "unique");
-  if (const auto cpu = number(params, "cpu")) out.cost = core::Time(static_cast<std::int64_t>(*cpu * 1e6));
-  out.memory_mb = number(params, "ram").value_or(0);
+  if (const auto cpu = number(params, "cpu", kMostCpuMs))
+    out.cost = core::Time(static_cast<std::int64_t>(*cpu * 1e6));
+  out.memory_mb = number(params, "ram", kMostRamMb).value_or(0);
   if (const auto item = text(params, "item", false); !item.empty()) out.order_key = hex(item, "item");
   auto body = from_base64(text(params, "data", true));
   if (!body) throw Bad{"data is not base64"};
@@ -93,7 +97,13 @@
 }  // namespace
 
 RpcMessage parse_rpc(std::string_view in, const config::Names& names) {
-  const json message = json::parse(in, nullptr, false);
+  bool deep = false;  // what nests without end is dropped as it is read
+  const auto shallow = [&deep](int depth, json::parse_event_t, json&) {
+    deep = deep || depth > kMostDepth;
+    return !deep;
+  };
+  const json message = json::parse(in, shallow, false);
+  if (deep) return RpcError{std::nullopt, kInvalidRequest, "nested too deeply"};
   if (message.is_discarded()) return RpcError{std::nullopt, kParseError, "no JSON"};
   if (!message.is_object()) return RpcError{std::nullopt, kInvalidRequest, "no call"};
   std::optional<std::uint64_t> id;
@@ -108,7 +118,8 @@
     return RpcError{id, kInvalidRequest, "no call of JSON-RPC 2.0"};
   const auto name = method->get<std::string>();
   const auto given = message.find("params");
-  const json params = given == message.end() ? json::object() : *given;
+  static const json kNone = json::object();
+  const json& params = given == message.end() ? kNone : *given;
   try {
     if (!params.is_object()) throw Bad{"params is not an object"};
     if (name == "cancel") {
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -25,6 +25,24 @@
   EXPECT_GE(to_bad, 2);
 }
 
+// Clients sent what no engine takes, and it went from engine to engine: all were rested for it, 159 times in
+// 20 s.
+TEST(FastErrors, WhatTwoEnginesCannotUseIsGivenUpAndNoEngineIsRested) {
+  Drive d(plain_settings());
+  d.list({engine(7), engine(8), engine(9)});
+  for (RequestId id = 1; id <= 20; ++id) {
+    d.ask(id, 0, 5s, 0, id);
+    for (int n = 0; n < d.sends_of(id); ++n)
+      d.ends(id, static_cast<AttemptIndex>(n), d.sends.back().engine, Result::error);
+    EXPECT_EQ(d.sends_of(id), 2);
+    EXPECT_EQ(d.answers(id), 1);
+    d.until(d.now + 20ms);
+  }
+  for (RequestId id = 101; id <= 103; ++id) d.ask(id, 0, 5s, 0, id);
+  EXPECT_EQ(d.sends_to(7) + d.sends_to(8) + d.sends_to(9), 43);
+  EXPECT_EQ(d.sends_of(101) + d.sends_of(102) + d.sends_of(103), 3) << "none waits for an engine";
+}
+
 TEST(FastErrors, AnEngineThatRecoversGetsWorkAgain) {
   Drive d(plain_settings());
   d.list({engine(7), engine(8)});
@@ -595,6 +613,31 @@
   EXPECT_EQ(d.sends_of(11), 1) << "what it did long ago no longer counts";
 }
 
+// Hundreds asked and withdrawn at once used up the share of the tenant's usual clients.
+TEST(Tenants, WhatIsWithdrawnBeforeItWasSentUsesNothingOfTheShare) {
+  Settings s = plain_settings();
+  s.over_share_worth = 0.1;
+  s.tenants = {{"a", 0.5, 10}, {"b", 0.5, 10}};
+  Drive d(s);
+  d.list({engine(7)});
+  for (RequestId id = 1; id <= 40; ++id) d.ask(id, 0, 20s, 0, 1);  // until queries wait
+  const auto held = [&] { return d.gateway.view(0).queued; };
+  ASSERT_GT(held(), 0U);
+  for (RequestId id = 1000; id < 1400; ++id) {
+    Arrival a;
+    a.request = id;
+    a.tenant = 1;
+    a.time_left = 5s;
+    d.at(d.now, {a, ClientLeft{id}});
+  }
+  Arrival usual;
+  usual.request = 5000;
+  usual.tenant = 1;
+  usual.time_left = 5s;
+  d.at(d.now, {usual});
+  EXPECT_EQ(d.answers(5000), 0);
+}
+
 TEST(Tenants, AFloodIsRefusedOnceQueriesWaitAndOthersAreNot) {
   Settings s = plain_settings();
   s.over_share_worth = 0.05;
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -210,6 +210,62 @@
   EXPECT_EQ(body(good.answer()), "x\ty\tz\n");
 }
 
+// What is said to a client that still sends must not be reset away with what it sent.
+TEST(Platform, AnEndlessLineGetsAnErrorThatItsClientCanRead) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client bad(broker.address);
+  ASSERT_TRUE(bad.socket.send(std::string(std::size_t{8} << 20, 'x')));
+  EXPECT_EQ(bad.answer()["error"]["code"], -32600);
+  EXPECT_TRUE(bad.socket.ended());
+}
+
+TEST(Platform, SilentClientsAndHalfRequestsAreSentAwayAndTakeNoUsualClientsPlace) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});  // 256 descriptors: room for 101 clients
+  Client usual(broker.address), half(broker.address), silent(broker.address);
+  usual.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(usual.answer()), "x\ty\tz\n");
+  half.socket.send(R"({"jsonrpc":"2.0","id":1,"meth)");
+  EXPECT_EQ(half.answer()["error"]["message"], "no whole request came");
+  EXPECT_TRUE(half.socket.ended());
+  EXPECT_TRUE(silent.socket.ended());
+  std::vector<Client> crowd;
+  for (int i = 0; i < 200; ++i) crowd.emplace_back(broker.address).socket.send("{");
+  Client late(broker.address);
+  for (auto* client : {&usual, &late}) {
+    client->ask(2, "lookup", kSelect, {{"txn", client == &late ? "00000000000000aa" : "00000000000000bb"}});
+    EXPECT_EQ(body(client->answer()), "x\ty\tz\n");
+  }
+}
+
+TEST(Platform, ALineThatNestsWithoutEndAndAClientThatNeverLearnsHarmNobody) {
+  HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client deep(broker.address), stubborn(broker.address), good(broker.address);
+  deep.socket.send(R"({"jsonrpc":"2.0","id":1,"method":"lookup","params":)" + std::string(200'000, '[') +
+                   std::string(200'000, ']') + "}\n");
+  EXPECT_TRUE(deep.answer().contains("error"));
+  for (int i = 0; i < 1000; ++i) stubborn.socket.send("{}\n");
+  int told = 0;
+  while (stubborn.socket.more()) told += 1;
+  EXPECT_GT(told, 0);
+  good.ask(1, "lookup", kSelect);
+  EXPECT_EQ(body(good.answer()), "x\ty\tz\n");
+}
+
+// Engines know a query by its id alone, and would answer the second with the rows of the first.
+TEST(Platform, TheIdOfAnOpenRequestIsNotTakenForAnother) {
+  HttpEngine engine([](const Call&) { return http(202); });
+  Broker broker({{"s-00000001", engine.server.address()}});
+  Client one(broker.address), two(broker.address);
+  one.ask(1, "lookup", kSelect);
+  engine.calls.wait(polls);
+  two.ask(1, "lookup", "SELECT b FROM sales_18.orders");
+  EXPECT_TRUE(two.answer().contains("error"));
+  EXPECT_EQ(engine.posts(), 1U);
+}
+
 // A connection left waiting for want of descriptors would wake the loop for ever.
 TEST(Platform, OutOfDescriptorsItTurnsAwayWhatComesAndServesTheRest) {
   HttpEngine engine([](const Call&) { return rows("x\ty\tz\n"); });
