Give slow engines less, heed news of queries, and end a drain before the kill

(1) One engine of five answered 5 times slower than the others from 2 s to 20 s (pace 4.7 to 6.1; another program) and was sent as many threads as any, since crowding() and room() count threads only; its reports of memory and disks looked like the others'. (2) The same engine was rested as "silent" for up to 8 s at each broker, though it answered 202 every 250 ms: the driver never told the module.

Changed: an engine far slower than the fleet counts as that much smaller, and loads prefer others; each 202 is an event (AttemptHeard) that the module hears as a note; after 3.3 s of a drain, what is left is refused where a repeat is harmless, else failed, and engines are told.

Checked: each new test fails without its part. Ruled out: report age (0.02 to 0.33 s), clients moved to other brokers (arrival rates).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,6 +42,8 @@
 constexpr double kLeastEase = 0.5;                  // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
+constexpr double kSlow = 2.0;         // times slower than the fleet: loads go elsewhere
+constexpr double kMostSlow = 6.0;     // times slower than the fleet that an engine counts for at most
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
 constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
 constexpr double kFleetStep = 0.04;   // weight of one answer in the fleet's pace
@@ -225,6 +227,12 @@
   }
 
   double cores(const Engine& engine) const { return s_.kinds[engine.entry.kind].cores; }
+  // An engine that answers far slower than the others, as when another program takes a part of it, has that
+  // much less room. Reports of its memory and disks do not show it.
+  double slowness(const Engine& engine) const {
+    const double times = engine.pace / std::max(1.0, fleet_pace_);
+    return times <= kUsualSpeed ? 1 : std::min(times, kMostSlow);
+  }
   bool cold(const Engine& engine) const {
     return engine.cold_since > Time::zero() && now_ < engine.cold_since + s_.ramp_time;
   }
@@ -562,6 +570,10 @@
     learn_base(cls, took);
     fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
     engine.pace += kPaceStep * (std::clamp(measure, 0.2, 8.0) - engine.pace);
+    if (const bool slow = slowness(engine) > (engine.slow ? 1 : kSlow); slow != engine.slow) {
+      engine.slow = slow;
+      fleet_changed_ = true;
+    }
   }
 
   // Falls quickly and rises slowly, so that a jam is not soon taken for usual.
@@ -822,7 +834,7 @@
     const unsigned threads = s_.classes[c].threads;
     const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 1);
     if (cold(engine)) return true;  // its turns are fewer than its room
-    const double size = cores(engine) * warmth(engine, 0s);
+    const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
     if (all && *all + 0.5 * threads > kTopCrowd * ease * size) return false;
@@ -843,7 +855,7 @@
     // Reports are late and every gateway reads the same: by them alone all would run to one engine at once.
     const double own = engine.threads * std::min<double>(s_.gateways, kOwnTimes);
     const double all = kOwnPart * own + (1 - kOwnPart) * all_threads(engine).value_or(own);
-    double score = (all + set.threads) / (cores(engine) * warmth(engine, 0s));
+    double score = (all + set.threads) * slowness(engine) / (cores(engine) * warmth(engine, 0s));
     if (engine.entry.zone != s_.zone) score += kFarZone * s_.price_cross_zone;
     if (!readers_wait_ && home(request.asked.data_group, engine)) score -= kWarmHome;
     if (set.waits_for_group && home(request.asked.data_group, engine)) score += kHomeKeepOff;
@@ -859,7 +871,10 @@
         if (!rested(*engine)) homes.push_back(engine);
       }
       const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
-      const auto order = [group](const Engine* engine) { return spread(group, engine->entry.engine); };
+      // A load holds its group for as long as it runs: slow engines come last.
+      const auto order = [group](const Engine* engine) {
+        return std::pair(engine->slow, spread(group, engine->entry.engine));
+      };
       std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(count), {}, order);
       homes.resize(count);
     }
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -77,6 +77,9 @@
 struct AttemptReady {  // a connection is free for it; nothing has been written
   AttemptId id;
 };
+struct AttemptHeard {  // its engine says that it goes on
+  AttemptId id;
+};
 struct AttemptEnded {
   AttemptId id;
   AttemptEnd end = AttemptEnd::error;
@@ -106,8 +109,9 @@
   bool unwritten = false;  // a front or engine driver still has something to write
 };
 
-using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptEnded,
-                           ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead, Tick>;
+using Event =
+    std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptHeard,
+                 AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead, Tick>;
 
 // ---- effects
 
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -32,6 +32,9 @@
  public:
   // After the request to stop, connections and requests go on coming for 0.7 s at the most.
   static constexpr Time kLinger = std::chrono::milliseconds(800);
+  // The platform kills the program 3.7 s after the request to stop at the earliest. What is not answered by
+  // then is given up in time for clients to hear of it, and to ask elsewhere.
+  static constexpr Time kMostDrain = std::chrono::milliseconds(3300);
   // What is left to write, and what engines still have to be told, gets this long.
   static constexpr Time kFlush = std::chrono::milliseconds(300);
 
@@ -55,6 +58,9 @@
   }
 
   [[nodiscard]] Phase phase() const { return phase_; }
+  [[nodiscard]] bool overdue(Time now) const {
+    return phase_ == Phase::draining && now >= since_ + kMostDrain;
+  }
   [[nodiscard]] bool green() const { return phase_ == Phase::serving; }
 
  private:
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -184,6 +184,14 @@
                asked.nonce, asked.body, asked.parameters});
 }
 
+// A note without a figure: neither the attempt nor its engine is lost, however long it takes.
+void Reducer::on(const AttemptHeard& heard) {
+  const auto* attempt = find(heard.id);
+  if (attempt == nullptr || attempt->stage != Stage::out) return;
+  news_.push_back(
+      heronwell::Note{heard.id.request, heard.id.index, attempt->engine, heronwell::NoteKind::waiting, 0});
+}
+
 void Reducer::on(AttemptEnded& ended) {
   auto* attempt = find(ended.id);
   if (attempt == nullptr || attempt->stage == Stage::over) return;
@@ -249,12 +257,35 @@
 
 void Reducer::on(const Tick& tick) {
   wheel_.advance(now_, [this](const Alarm& alarm) { on(alarm); });
+  if (lifecycle_.overdue(now_)) give_up_all();
   // What stays in the table without an answer owed waits for engines to hear that it was given up.
   if (!lifecycle_.advance(now_, owed_ > 0, tick.unwritten || !requests_.empty())) return;
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
   if (lifecycle_.phase() == Phase::exited) put(Exit{});
 }
 
+// The program ends before these could: better a refusal now than none at all. Where a repeat may do harm,
+// they have failed.
+void Reducer::give_up_all() {
+  std::vector<RequestId> open;
+  for (const auto& [id, request] : requests_) {
+    if (!request.answered) open.push_back(id);
+  }
+  for (const auto id : open) {
+    auto& request = requests_.at(id);
+    const auto& set = settings_.classes[request.asked.cls];
+    const bool harmless =
+        request.attempts.empty() || set.effect == heronwell::Effect::safe ||
+        (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
+    const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
+    harmless ? answer(request, AnswerKind::refused, pause, {}) : answer(request, AnswerKind::failed, {}, {});
+    for (std::size_t n = 0; n < request.attempts.size(); ++n)
+      abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
+    news_.push_back(heronwell::ClientLeft{id});
+    forget_if_done(id);
+  }
+}
+
 void Reducer::on(const Alarm& alarm) {
   switch (alarm.kind) {
     case Alarm::Kind::wake:
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -61,6 +61,7 @@
   void on(Arrived& arrived);
   void on(const Cancelled& cancelled);
   void on(const AttemptReady& ready);
+  void on(const AttemptHeard& heard);
   void on(AttemptEnded& ended);
   void on(ProbeEnded& ended);
   void on(PeerHeard& heard);
@@ -82,6 +83,7 @@
   void act(heronwell::Trace& trace);
 
   void consult();
+  void give_up_all();
   void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -249,6 +249,7 @@
   if (answer.status == 202) {
     if (attempt.stage == Stage::leaving) return give_up(id);
     attempt.stage = Stage::polling;
+    post_(core::AttemptHeard{id});
     if (attempt.rank) run(core::Reprioritize{id, *std::exchange(attempt.rank, std::nullopt)});
     return ask(id);
   }
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -52,6 +52,7 @@
   Time rest_until{}, rest{};  // rest: the last one's length; 0: none since it was well
   double errors = 0;          // share of late
   double pace = 1;            // answer time against the class's usual one
+  bool slow = false;          // far slower than the others
   Time heard{};
   Time cold_since{};            // 0: warm
   Time broke{}, cold_before{};  // last broken connection, unless it was heard since; cold_since before it
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -243,5 +243,43 @@
   EXPECT_EQ(d.all<Exit>().size(), 1U);
 }
 
+// The platform kills a stopping program after 3.7 s: what it still holds then would get no answer at all.
+TEST(Reducer, WhatCannotEndBeforeTheProgramDoesIsGivenUpInTime) {
+  Driven d;
+  d.ask(42, 0, 20s);
+  d.ask(43, 1, 20s);  // may not be repeated
+  for (const auto& start : d.all<StartAttempt>()) d.at(1ms, AttemptReady{start.id});
+  ASSERT_EQ(d.all<Transmit>().size(), 2U);
+  d.at(0ms, StopAsked{});
+  d.pass(3s);
+  EXPECT_TRUE(d.all<Answer>().empty());
+  d.pass(400ms);
+  const auto answers = d.all<Answer>();
+  ASSERT_EQ(answers.size(), 2U);
+  for (const auto& answer : answers)
+    EXPECT_EQ(answer.kind, answer.client == 42 ? AnswerKind::refused : AnswerKind::failed);
+  EXPECT_EQ(d.all<Abandon>().size(), 2U);
+  d.pass(300ms);
+  EXPECT_EQ(d.all<Exit>().size(), 1U);
+}
+
+// An engine that says every 250 ms that a query goes on was rested as silent for up to 8 s, a fifth of the
+// fleet.
+TEST(Reducer, AnEngineThatSaysItGoesOnIsNotTakenForSilent) {
+  for (const bool heard : {true, false}) {
+    Driven d;
+    for (Client client = 1; client <= 4; ++client) d.ask(client, 0, 60s);
+    for (const auto& start : d.all<StartAttempt>()) d.at(1ms, AttemptReady{start.id});
+    for (int i = 0; i < 12; ++i) {
+      d.pass(250ms);
+      if (!heard) continue;
+      for (const auto& sent : d.all<Transmit>()) d.at(0ms, AttemptHeard{sent.id});
+    }
+    const auto logs = d.all<Log>();
+    const auto silent = [](const Log& log) { return log.text.find("is silent") != std::string::npos; };
+    EXPECT_EQ(std::ranges::any_of(logs, silent), !heard);
+  }
+}
+
 }  // namespace
 }  // namespace bellstair::core
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -1,6 +1,9 @@
 // One test for each failure found: it fails without the defence.
 #include <gtest/gtest.h>
 
+#include <map>
+#include <tuple>
+
 #include "bench.hpp"
 
 namespace heronwell::test {
@@ -230,6 +233,49 @@
   }
 }
 
+// Another program took most of one engine of five: at a pace of 5 it was still sent as much as the others.
+TEST(SlowEngine, FarSlowerThanTheFleetItGetsFewerQueriesAndNoLoads) {
+  Settings s = plain_settings();
+  s.kinds = {{"one", 16, 8192}};
+  s.classes[0].waits_for_group = s.classes[2].holds_group = true;
+  s.classes[2].group = RepeatGroup::all;
+  s.tells_cost = true;
+  Drive d(s);
+  d.list({engine(7), engine(8), engine(9), engine(10), engine(11)});
+  std::vector<std::tuple<Time, RequestId, EngineId>> running;
+  std::map<EngineId, int> sent, loads;
+  RequestId id = 0;
+  for (int step = 0; step < 2000; ++step) {
+    const auto from = d.sends.size();
+    const bool load = step % 10 == 0;
+    d.ask(++id, load ? 2 : 0, 5s, 0, step % 40);
+    for (auto i = from; i < d.sends.size(); ++i) {
+      const auto to = d.sends[i].engine;
+      running.emplace_back(d.now + (to == 8 ? 500ms : 100ms), d.sends[i].request, to);
+      if (step >= 1000) ++(load ? loads : sent)[to];
+    }
+    d.until(d.now + 10ms);
+    for (auto it = running.begin(); it != running.end();) {
+      const auto [end, request, to] = *it;
+      if (end > d.now) {
+        ++it;
+        continue;
+      }
+      it = running.erase(it);
+      Outcome o;
+      o.request = request;
+      o.attempt = static_cast<AttemptIndex>(d.sends_of(request) - 1);
+      o.engine = to;
+      o.latency = to == 8 ? 500ms : 100ms;
+      o.work = 100ms;
+      o.closed = true;
+      d.at(d.now, {o});
+    }
+  }
+  EXPECT_LT(sent[8] * 3, sent[7]);
+  EXPECT_LT(loads[8] * 10, loads[7] + loads[9] + loads[10] + loads[11]);
+}
+
 TEST(BadPlan, AnAttemptThatWouldTakeFarTooLongIsBegunAnewOnce) {
   Settings s = plain_settings();
   s.progress_pace = 500ms;
