--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -247,7 +247,7 @@
   RequestId id = 0;
   for (int step = 0; step < 2000; ++step) {
     const auto from = d.sends.size();
-    const bool load = step % 10 == 0;
+    const bool load = step % 3 == 0;
     d.ask(++id, load ? 2 : 0, 5s, 0, step % 40);
     for (auto i = from; i < d.sends.size(); ++i) {
       const auto to = d.sends[i].engine;
@@ -272,8 +272,8 @@
       d.at(d.now, {o});
     }
   }
-  EXPECT_LT(sent[8] * 3, sent[7]);
-  EXPECT_LT(loads[8] * 10, loads[7] + loads[9] + loads[10] + loads[11]);
+  EXPECT_LT(sent[8] * 10, sent[7]);
+  EXPECT_EQ(loads[8], 0);
 }
 
 TEST(BadPlan, AnAttemptThatWouldTakeFarTooLongIsBegunAnewOnce) {
