Ask again for spoilt answers, pass interim ones by, and use good ones with more behind

HttpReader::feed() called a whole answer with bytes behind it bad and took a 1xx head for the answer; Engines::answered() ended each spoilt answer as `reset`, so that the module had the query run again; pages were not checked (answered() passed on whatever a 200 held), and a claim of 3 GB was read up to 256 KB.

Changed: interim answers are passed by; more behind an answer costs the connection only; pages must be whole rows of three columns of at most 6,000 bytes, results 48,000, and Result-Pages must be there; what is spoilt, cut off or silent (0.7 s, was 1.2 s) is asked for again on another connection, since the engine gives a good end again. An engine that then knows no such query proves nothing: `reset`. Engines that have gone leave nothing behind in the reducer, the driver or the pool.

Ruled out: engines rested for spoilt answers (none).

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -104,7 +104,12 @@
     put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
                     state == EngineState::ready});
     const auto id = member.entry.engine;
-    members_.insert_or_assign(id, std::move(member));
+    // Engines come with new ids for ever: what is gone is not kept.
+    if (state == EngineState::gone) {
+      members_.erase(id);
+    } else {
+      members_.insert_or_assign(id, std::move(member));
+    }
   }
   fleet_told_ = true;
   news_.push_back(std::move(listing));
@@ -230,6 +235,7 @@
     probe.latency = now_ - sent.front();
     sent.erase(sent.begin());
   }
+  if (sent.empty()) probes_.erase(ended.engine);
   probe.engine = ended.engine;
   probe.result = ended.result;
   probe.load = std::move(ended.load);
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -193,6 +193,11 @@
     while (!engine.idle.empty() && engine.idle.front()->since + limits_.idle_life <= now)
       remove(*engine.idle.front());
   }
+  // Engines come with new ids for ever.
+  std::erase_if(engines_, [](const auto& entry) {
+    const auto& engine = entry.second;
+    return !engine.usable && engine.idle.empty() && engine.waiting.empty() && engine.dialling == 0;
+  });
 }
 
 }  // namespace bellstair::net
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -11,19 +11,32 @@
 using core::AttemptEnd;
 using core::AttemptId;
 
-constexpr std::size_t kMostPage = std::size_t{256} * 1024;
+constexpr std::size_t kMostBody = std::size_t{64} * 1024;  // of any answer
+constexpr std::size_t kMostPage = 6000;
+constexpr std::size_t kMostResult = 48'000;
 constexpr std::size_t kMostPages = 4096;
-constexpr std::size_t kMostResult = std::size_t{4} << 20;
 // An engine answers within 250 ms, if only that there is no news; a query unasked for 2 s dies. A call that
 // hears nothing for so long is made again on another connection while there is time.
-constexpr core::Time kSilence = 1200ms;
+constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
 
 struct HttpSession : net::Session {
-  HttpReader reader{kMostPage};
+  HttpReader reader{kMostBody};
 };
 
+// Rows of three columns, each with its line feed.
+bool whole_rows(std::string_view page) {
+  if (page.size() > kMostPage || (!page.empty() && page.back() != '\n')) return false;
+  int tabs = 0;
+  for (const char c : page) {
+    tabs += c == '\t' ? 1 : 0;
+    if (c == '\n' && std::exchange(tabs, 0) != 2) return false;
+    if (c == '\0') return false;
+  }
+  return true;
+}
+
 std::string path_of(const std::string& ticket) { return "/v1/store/" + ticket; }
 }  // namespace
 
@@ -219,7 +232,10 @@
 }
 
 void Engines::run(const core::EngineMoved& effect) {
-  if (!effect.usable) return pool_.retire(effect.engine);
+  if (!effect.usable) {
+    addresses_.erase(effect.engine);
+    return pool_.retire(effect.engine);
+  }
   addresses_[effect.engine] = effect.address;
   pool_.place(effect.engine, effect.address);
 }
@@ -236,17 +252,18 @@
   if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
   if (how != End::answered) {
     if (attempt.stage == Stage::leaving) return give_up(id);
-    // Once a byte of a statement has left, it may have run, and is never sent again from here.
-    if (posting && how != End::silent)
-      return end(id, how == End::unsent ? AttemptEnd::expired : AttemptEnd::reset);
-    // Silence tells nothing: the engine may run it and only this connection be lost. It is asked for its
-    // news.
+    if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
+    // Once a byte of a statement has left, it may have run, and is never sent again from here. Neither
+    // silence nor an answer that breaks off or can't be read tells whether it runs: the engine is asked for
+    // its news.
+    attempt.doubtful = attempt.doubtful || posting;
     attempt.stage = attempt.stage == Stage::posted ? Stage::polling : attempt.stage;
     return reconnect(id);
   }
-  attempt.reconnects = 0;
   take_load(answer, attempt.result.load);
   if (answer.status == 202) {
+    attempt.reconnects = 0;
+    attempt.doubtful = false;
     if (attempt.stage == Stage::leaving) return give_up(id);
     attempt.stage = Stage::polling;
     post_(core::AttemptHeard{id});
@@ -254,20 +271,15 @@
     return ask(id);
   }
   if (answer.status == 200) {
-    auto& result = attempt.result;
-    if (attempt.next_page == 0) {
-      const double pages = answer.number("result-pages").value_or(1);
-      if (pages < 1 || pages > kMostPages || pages != std::floor(pages)) return end(id, AttemptEnd::error);
-      attempt.pages = static_cast<std::size_t>(pages);
-      if (const auto cost = answer.number("query-cost"))
-        result.work = core::Time(static_cast<std::int64_t>(*cost * 1e6));
-      result.memory_mb = answer.number("query-need").value_or(0);
-    } else if (answer.number("result-page").value_or(-1) != static_cast<double>(attempt.next_page)) {
-      return end(id, AttemptEnd::error);
+    if (!take_page(attempt, answer)) {
+      // Spoilt on its way: the engine has it still, and gives it again. The connection is of no further use.
+      if (attempt.connection != nullptr) pool_.discard(*std::exchange(attempt.connection, nullptr));
+      if (attempt.stage == Stage::leaving) return end(id, AttemptEnd::withdrawn);
+      if (attempt.stage == Stage::posted) attempt.stage = Stage::polling;
+      return reconnect(id);
     }
-    result.body += answer.body;
-    if (result.body.size() > kMostResult) return end(id, AttemptEnd::error);
-    if (++attempt.next_page == attempt.pages) return end(id, AttemptEnd::served);
+    attempt.reconnects = 0;
+    if (attempt.next_page == attempt.pages) return end(id, AttemptEnd::served);
     if (attempt.stage == Stage::leaving) return end(id, AttemptEnd::withdrawn);
     attempt.stage = Stage::paging;
     return ask(id);
@@ -276,16 +288,36 @@
   const bool never_ran = answer.header("x-shed") == "1" && attempt.next_page == 0;
   if (never_ran && answer.status == 503) return end(id, AttemptEnd::turned_away);
   if (never_ran && answer.status == 504) return end(id, AttemptEnd::expired);
-  end(id, AttemptEnd::error);
+  // An engine that does not know it may never have got it.
+  end(id, attempt.doubtful ? AttemptEnd::reset : AttemptEnd::error);
+}
+
+bool Engines::take_page(Attempt& attempt, HttpAnswer& answer) {
+  auto& result = attempt.result;
+  if (!whole_rows(answer.body) || result.body.size() + answer.body.size() > kMostResult) return false;
+  if (attempt.next_page == 0) {
+    const double pages = answer.number("result-pages").value_or(0);
+    if (pages < 1 || pages > kMostPages || pages != std::floor(pages)) return false;
+    attempt.pages = static_cast<std::size_t>(pages);
+    if (const auto cost = answer.number("query-cost"); cost && *cost >= 0 && *cost < 1e9)
+      result.work = core::Time(static_cast<std::int64_t>(*cost * 1e6));
+    result.memory_mb = std::clamp(answer.number("query-need").value_or(0), 0.0, 1e9);
+  } else if (answer.number("result-page").value_or(-1) != static_cast<double>(attempt.next_page)) {
+    return false;
+  }
+  result.body += answer.body;
+  ++attempt.next_page;
+  return true;
 }
 
 void Engines::ask(AttemptId id) {
   auto& attempt = attempts_.at(id);
   if (attempt.connection == nullptr) return reconnect(id);
   const auto page = attempt.stage == Stage::paging ? attempt.next_page : 0;
-  call(*attempt.connection,
-       http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}), kSilence,
-       [this, id](End how, HttpAnswer& answer) { answered(id, how, answer); });
+  attempt.call =
+      call(*attempt.connection,
+           http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}),
+           kSilence, [this, id](End how, HttpAnswer& answer) { answered(id, how, answer); });
 }
 
 // News and pages may be asked for again: asking does nothing to the query.
@@ -313,8 +345,7 @@
   attempts_.erase(found);
   if (auto* connection = attempt.connection; connection != nullptr && connection->stream.open()) {
     // A call that is still out on it ends by itself, and frees the connection then.
-    const auto out =
-        std::ranges::find_if(calls_, [&](const auto& c) { return c.second.connection == connection; });
+    const auto out = calls_.find(attempt.call);
     if (out == calls_.end()) {
       pool_.release(*connection);
     } else {
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -46,7 +46,8 @@
     std::uint64_t call = 0;            // the one that starts it
     std::string query;                 // its path at the engine
     std::size_t next_page = 0, pages = 0;
-    int reconnects = 0;                // in a row, without an answer in between
+    int reconnects = 0;                // in a row, without a good answer in between
+    bool doubtful = false;             // nothing has proved yet that the statement has come
     std::optional<std::uint8_t> rank;  // a priority to be told once the engine knows the query
     core::AttemptEnded result;
   };
@@ -64,6 +65,7 @@
   void answered(core::AttemptId id, End end, HttpAnswer& answer);
   void ask(core::AttemptId id);  // for news, or for the next page
   void reconnect(core::AttemptId id);
+  bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
   void give_up(core::AttemptId id);  // tells the engine
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
--- a/src/platform/http.cpp
+++ b/src/platform/http.cpp
@@ -54,7 +54,9 @@
       auto& r = of(p);
       r.keep_header();
       r.answer_.status = p->status_code;
-      return 0;
+      // What claims to be too long is not read to its end first.
+      const bool told = (p->flags & F_CONTENTLENGTH) != 0;
+      return told && p->content_length > r.most_body_ ? -1 : 0;
     };
     s.on_body = [](http_parser* p, const char* at, std::size_t size) {
       auto& r = of(p);
@@ -89,9 +91,18 @@
   begun_ = begun_ || !bytes.empty();
   parser_.data = this;
   const auto used = http_parser_execute(&parser_, &callbacks(), bytes.data(), bytes.size());
+  if (complete_ && answer_.status < 200 && answer_.status != 101) {
+    // Interim: the answer itself is still to come. Their heads count together, so that they can't go on for
+    // ever.
+    const auto heads = header_bytes_ + used;
+    expect();
+    begun_ = true;
+    header_bytes_ = heads;
+    return heads <= kMostHeaderBytes && (used == bytes.size() || feed(bytes.substr(used)));
+  }
   if (complete_) {
-    // http-parser stops on the last byte of a paused message; a byte more is one that nobody asked for.
-    return used + 1 >= bytes.size();
+    if (used < bytes.size()) answer_.keep_alive = false;
+    return true;
   }
   return HTTP_PARSER_ERRNO(&parser_) == HPE_OK && used == bytes.size();
 }
--- a/src/platform/http.hpp
+++ b/src/platform/http.hpp
@@ -35,7 +35,8 @@
 
   explicit HttpReader(std::size_t most_body) : most_body_(most_body) { expect(); }
   void expect();  // a new answer
-  // False: what came is no HTTP, too large, or more than was asked for.
+  // False: what came is no HTTP, or too large. An answer with more behind it is good, its connection of no
+  // more use.
   [[nodiscard]] bool feed(std::string_view bytes);
   // The connection's end; true if that completes the answer.
   [[nodiscard]] bool finish();
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -59,6 +59,7 @@
   std::atomic<int> posts = 0;
   const auto answer = [&](const Call& call) -> std::optional<std::string> {
     if (is(call, "POST") && posts++ == 0) return std::nullopt;  // whichever comes first
+    if (!is(call, "POST")) return http(500);                    // and it does not know the query
     return rows("x\ty\tz\n");
   };
   HttpEngine one(answer), two(answer);
