Keep sending a slow engine something, and drop MySQL connections with more behind an answer

Changed: the limit for all gateways goes by the engine's full size; only what is a gateway's own share goes by its speed; under 2 times the fleet is chance; after 4 s without an answer a slow engine is looked at anew.

Besides: a MySQL engine's answer with more behind it left its connection in the pool, and the rest was taken for the next statement's answer (mysql/engines.cpp, end() and aside()). The new test got {} for rows before, and rows now.

Ruled out: rested engines (none), blamed errors (0.1 at most).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -42,7 +42,8 @@
 constexpr double kLeastEase = 0.5;                  // of the crowd limits, at the least
 constexpr double kEaseDown = 0.85, kEaseUp = 0.05;  // a period
 constexpr double kUsualSpeed = 1.5;   // answer time against the usual: up to here an engine is at usual speed
-constexpr double kSlow = 2.0;         // times slower than the fleet: loads go elsewhere
+constexpr double kSlow = 2.0;         // times slower than the fleet: what is less is chance
+constexpr Time kSlowLook = 4s;        // without an answer of a slow engine, it gets another chance
 constexpr double kMostSlow = 6.0;     // times slower than the fleet that an engine counts for at most
 constexpr double kPaceStep = 0.1;     // weight of one answer in an engine's pace
 constexpr double kLevelStep = 0.1;    // weight of one report in the fleet's level, threads a core
@@ -231,7 +232,7 @@
   // much less room. Reports of its memory and disks do not show it.
   double slowness(const Engine& engine) const {
     const double times = engine.pace / std::max(1.0, fleet_pace_);
-    return times <= kUsualSpeed ? 1 : std::min(times, kMostSlow);
+    return times <= kSlow ? 1 : std::min(times, kMostSlow);
   }
   bool cold(const Engine& engine) const {
     return engine.cold_since > Time::zero() && now_ < engine.cold_since + s_.ramp_time;
@@ -570,10 +571,9 @@
     learn_base(cls, took);
     fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
     engine.pace += kPaceStep * (std::clamp(measure, 0.2, 8.0) - engine.pace);
-    if (const bool slow = slowness(engine) > (engine.slow ? 1 : kSlow); slow != engine.slow) {
-      engine.slow = slow;
-      fleet_changed_ = true;
-    }
+    const bool slow = slowness(engine) > 1;
+    fleet_changed_ = fleet_changed_ || slow != engine.slow;
+    engine.slow = slow;
   }
 
   // Falls quickly and rises slowly, so that a jam is not soon taken for usual.
@@ -834,13 +834,15 @@
     const unsigned threads = s_.classes[c].threads;
     const double ease = ease_ * (c == rank_.front() ? 1 : few_ ? kLaterRanks : 1);
     if (cold(engine)) return true;  // its turns are fewer than its room
-    const double size = cores(engine) * warmth(engine, 0s) / slowness(engine);
+    const double size = cores(engine) * warmth(engine, 0s);
     const auto all = all_threads(engine);
     const double own = engine.threads + 0.5 * threads;
     if (all && *all + 0.5 * threads > kTopCrowd * ease * size) return false;
-    if (own <= kThreadsPerCore * size / s_.gateways || engine.threads == 0) return true;
-    if (own > kThreadsPerCore * size) return false;
-    if (all) return *all + 0.5 * threads <= kPassCrowd * ease * size;
+    // A slow engine is still sent something by each gateway: its pace would never be seen to change.
+    const double swift = size / slowness(engine);
+    if (own <= kThreadsPerCore * swift / s_.gateways || engine.threads == 0) return true;
+    if (own > kThreadsPerCore * swift) return false;
+    if (all) return *all + 0.5 * threads <= kPassCrowd * ease * swift;
     return engine.pace <= kUsualSpeed * std::max(1.0, std::min(fleet_pace_, 1.2));
   }
 
@@ -964,6 +966,12 @@
 
   void sample() {
     ease();
+    for (auto* engine : ready_) {
+      if (!engine->slow || now_ <= engine->heard + kSlowLook) continue;
+      engine->pace = std::min(engine->pace, kSlow * std::max(1.0, fleet_pace_));
+      engine->slow = false;
+      fleet_changed_ = true;
+    }
     const double all = pool();
     const double wanted = sum(&Class::u);
     for (const auto c : rank_) {
--- a/src/mysql/engines.cpp
+++ b/src/mysql/engines.cpp
@@ -245,7 +245,7 @@
         return;  // until its time is up
       }
       if (!whole || overdue_.erase(serial) == 0) return;
-      pool_.release(*connection);
+      session.reader.buffered() == 0 ? pool_.release(*connection) : pool_.discard(*connection);
       told(true, true);
     };
     connection->lost = [this, serial](bool) {
@@ -389,7 +389,9 @@
     // A connection that was killed, or that still has something to say, is of no more use.
     const bool clean = how == AttemptEnd::served || how == AttemptEnd::expired || how == AttemptEnd::error ||
                        how == AttemptEnd::turned_away;
-    clean ? pool_.release(*attempt.connection) : pool_.discard(*attempt.connection);
+    // What came behind an answer would be taken for the next one's.
+    const auto& reader = static_cast<Session&>(*attempt.connection->session).reader;
+    clean&& reader.buffered() == 0 ? pool_.release(*attempt.connection) : pool_.discard(*attempt.connection);
   }
   attempt.result.end = how;
   if (how == AttemptEnd::served) {
--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -24,6 +24,7 @@
   Log<Executed> executed;
   Log<std::string> prepared, killed;
   std::function<void()> on_prepare;
+  bool twice = false;  // an OK comes with another behind it
 
  private:
   void serve(Socket& socket) {
@@ -76,6 +77,10 @@
       const auto rows = answer_(what);
       if (!rows) return socket.reset();
       if (rows->empty()) {
+        if (twice) {
+          socket.send(my::frame(1, my::write_ok()) + my::frame(2, my::write_ok()));
+          continue;
+        }
         wire.give(my::write_ok());
         continue;
       }
@@ -219,6 +224,19 @@
   EXPECT_EQ(two.prepared.count([](const auto&) { return true; }), 1U);
 }
 
+// What comes behind an answer was taken for the answer to the next statement.
+TEST(Mysql, AnAnswerWithMoreBehindItIsUsedAndItsConnectionIsNot) {
+  const MysqlEngine::Rows rows{{"x"}};
+  MysqlEngine engine(
+      [&](const Executed& e) { return e.statement.rfind("SELECT", 0) == 0 ? rows : MysqlEngine::Rows(); });
+  engine.twice = true;
+  MysqlBroker broker({{"s-00000001", engine.server.address()}}, true);
+  MysqlClient client(broker.mysql);
+  client.query("/* bellstair: class=lookup */ UPDATE sales_17.x SET a = 1");
+  EXPECT_EQ(client.error.code, 0);
+  EXPECT_EQ(client.query("SELECT a FROM sales_17.x"), rows);
+}
+
 // An execute must not leave once the engine drains, though its prepare has left before.
 TEST(Mysql, WhatIsBeingPreparedWhenItsEngineDrainsIsExecutedElsewhere) {
   const auto answer = [](const Executed&) { return MysqlEngine::Rows{{"x"}}; };
