--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,15 @@
-# build, test, lint and run; CMake does the work.
+# deps, build, test, bench, lint and run; CMake does the work.
 CONFIG ?= $(BALANCER_CONFIG)
 JOBS ?= 4
 
-.PHONY: build test lint run clean
+.PHONY: deps build test bench lint run clean
+
+# Installs what is missing of deploy/packages.txt (as root).
+deps:
+	@missing=$$(for p in $$(sed -n 's/^[a-z]* //p' deploy/packages.txt); do \
+	  dpkg-query -W -f='$${Status}' $$p 2>/dev/null | grep -q 'ok installed' || echo $$p; done); \
+	if [ -n "$$missing" ]; then \
+	  apt-get update -qq && DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $$missing >/dev/null; fi
 
 build:
 	cmake -B build -DCMAKE_BUILD_TYPE=Release
@@ -13,13 +20,23 @@
 	cmake --build build-test -j$(JOBS)
 	ctest --test-dir build-test --output-on-failure -j$(JOBS)
 
+# Micro-costs, then how a runaway hook is felt by others; a few minutes.
+bench:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBELLSTAIR_BENCHMARKS=ON
+	cmake --build build-bench -j$(JOBS)
+	build-bench/benchmarks/hooks_cost --benchmark_repetitions=5 --benchmark_report_aggregates_only=true
+	build-bench/benchmarks/hooks_isolation
+
 lint:
 	@lines=$$(grep -c '[^[:space:]]' src/choice.cpp); echo "src/choice.cpp: $$lines non-blank lines"; test $$lines -le 1060
 	@! grep -nE '^.{111,}' src/choice.cpp
-	find src include tests -name '*.[ch]pp' | xargs clang-format --dry-run --Werror
+	@test "$$(sed -n 's/^build //p' deploy/packages.txt | tr '\n' ' ')" = \
+	  "$$(sed -n 's/^packages = \[\([^]]*\)\].*/\1/p' deploy/balancer.toml | tr -d '",') " || \
+	  { echo "deploy/packages.txt and deploy/balancer.toml name different packages"; false; }
+	find src include tests $(wildcard benchmarks) -name '*.[ch]pp' | xargs clang-format --dry-run --Werror
 
 run: build
 	build/bellstair serve --config "$(CONFIG)"
 
 clean:
-	rm -rf build build-test build-embed
+	rm -rf build build-test build-bench build-embed
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -44,6 +44,14 @@
 }
 }  // namespace
 
+hooks::Words words_of(const config::Config& config) {
+  hooks::Words out;
+  out.classes = config.names.class_names;
+  out.fronts = config::kFrontNames;
+  for (const auto& tenant : config.settings.tenants) out.tenants.push_back(tenant.name);
+  return out;
+}
+
 net::Post Broker::poster() {
   return [this](core::Event event) { post(std::move(event)); };
 }
@@ -63,17 +71,21 @@
   return front_->unwritten() || (mysql_ && mysql_->unwritten());
 }
 
-Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, std::string file)
+Broker::Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, hooks::Loaded loaded,
+               std::string file, std::string fronts_file)
     : loop_(loop),
       file_(std::move(file)),
+      fronts_file_(std::move(fronts_file)),
       config_(std::move(config)),
       fronts_(std::move(fronts)),
-      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4),
+      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4, loaded.set),
+      runner_(loop, words_of(config_), poster()),
       engines_(make_engines()),
       changelog_(loop, config_.changelog, config_.names, config_.known.seq, poster()),
       peers_(loop, config_, poster()),
       tick_(loop),
       call_(loop),
+      hooks_turn_(loop),
       prepare_(loop),
       term_(loop),
       interrupt_(loop),
@@ -82,9 +94,7 @@
   front_ = std::make_unique<platform::Front>(
       loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
       [this] { return reducer_.lifecycle().green(); }, poster());
-  if (fronts_.plugin)
-    plugin_ =
-        std::make_unique<plugin::Admission>(*fronts_.plugin, config_.names, config_.settings.max_retry_after);
+  runner_.adopt(loaded);
   if (fronts_.directory)
     directory_ = std::make_unique<directory::Ldap>(loop, *fronts_.directory, config_.names);
   if (fronts_.mysql) {
@@ -105,6 +115,7 @@
 
   tick_.set<Broker, &Broker::on_tick>(this);
   call_.set<Broker, &Broker::on_call>(this);
+  hooks_turn_.set<Broker, &Broker::on_hooks>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
@@ -137,6 +148,8 @@
 
 void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
+void Broker::on_hooks(ev::timer&, int) { post(core::HooksTurn{}); }
+
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
 
 void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
@@ -149,6 +162,9 @@
     front_->settle();
     if (mysql_) mysql_->settle();
   } while (!events_.empty());
+  // What hooks have still to do waits for the next turn, after the sockets.
+  if (const auto go_on = reducer_.hooks_due())
+    hooks_turn_.start(std::max(0.0, seconds(*go_on - unix_now())), 0);
   const auto due = reducer_.next_call();
   if (!due) return;
   call_.start(std::max(0.0, seconds(*due - unix_now())) + 1e-5, 0);
@@ -158,23 +174,12 @@
   while (!events_.empty()) {
     auto event = std::move(events_.front());
     events_.pop_front();
-    if (auto* arrived = std::get_if<core::Arrived>(&event); arrived != nullptr && plugin_)
-      admit(arrived->asked);
     effects_.clear();
     reducer_.reduce(unix_now(), std::move(event), effects_);
     for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
   }
 }
 
-// A script that fails for one request fails for many: one line a second says enough.
-void Broker::admit(core::Submission& asked) {
-  const auto said = plugin_->admit(asked);
-  const auto now = unix_now();
-  if (said.empty() || now < plugin_logged_ + 1s) return;
-  plugin_logged_ = now;
-  run(core::Log{said});
-}
-
 void Broker::run(const core::Answer& effect) {
   if (!front_->run(effect) && mysql_) mysql_->run(effect);
 }
@@ -183,19 +188,44 @@
   std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
 }
 
-// Read whole, and as strictly as at the start, before anything of it is used.
+// Read whole, and as strictly as at the start, before anything of it is used. Scripts are loaded and tried
+// beside the loop.
 void Broker::run(const core::ReadConfiguration&) {
-  core::ConfigurationRead read;
-  try {
-    const auto again = config::parse(config::read_file(file_, "configuration"));
-    read.changelog = again.changelog;
-    for (const auto& [field, text] : again.fixed) {
-      if (text != config_.fixed.at(field)) read.fixed.push_back(field);
+  const auto read_again = [this] {
+    struct Again {
+      core::ConfigurationRead read;
+      hooks::Loaded loaded;
+    };
+    auto again = std::make_shared<Again>();
+    auto& read = again->read;
+    try {
+      const auto config = config::parse(config::read_file(file_, "configuration"));
+      read.changelog = config.changelog;
+      for (const auto& [field, text] : config.fixed) {
+        if (text != config_.fixed.at(field)) read.fixed.push_back(field);
+      }
+      if (!fronts_file_.empty()) {
+        // Names stay as they were at the start: so do the settings that they are of.
+        const auto fronts =
+            config::parse_fronts(config::read_file(fronts_file_, "fronts"), fronts_file_, config_.names);
+        if (fronts.mysql != fronts_.mysql) read.fixed.emplace_back("mysql");
+        if (fronts.mysql_engines != fronts_.mysql_engines) read.fixed.emplace_back("mysql_engines");
+        if (fronts.directory != fronts_.directory) read.fixed.emplace_back("directory");
+        again->loaded = hooks::load(fronts.hooks, runner_.words());
+        for (const auto& problem : again->loaded.problems)
+          read.problem += (read.problem.empty() ? "" : "\n") + problem;
+        read.hooks = again->loaded.set;
+      }
+    } catch (const std::exception& error) {
+      read.problem = error.what();
     }
-  } catch (const std::exception& error) {
-    read.problem = error.what();
-  }
-  post(std::move(read));
+    return [this, again] {
+      if (again->read.problem.empty()) runner_.adopt(again->loaded);
+      post(std::move(again->read));
+    };
+  };
+  if (fronts_file_.empty()) return read_again()();
+  runner_.later(read_again);
 }
 
 void Broker::run(const core::Exit&) { loop_.break_loop(ev::ALL); }
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -11,12 +11,12 @@
 #include "config/fronts.hpp"
 #include "core/reducer.hpp"
 #include "directory/ldap.hpp"
+#include "hooks/runner.hpp"
 #include "mysql/front.hpp"
 #include "net/driver.hpp"
 #include "platform/changelog.hpp"
 #include "platform/front.hpp"
 #include "platform/peers.hpp"
-#include "plugin/admission.hpp"
 
 namespace bellstair::app {
 
@@ -24,10 +24,14 @@
   using std::runtime_error::runtime_error;
 };
 
+// Names for hooks, by their positions in the settings.
+[[nodiscard]] hooks::Words words_of(const config::Config& config);
+
 class Broker {
  public:
-  // `file`: the configuration's, to be read again on SIGHUP.
-  Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, std::string file);
+  // The files are read again on SIGHUP; `fronts_file` may be empty. `loaded`: the hooks of `fronts`.
+  Broker(ev::loop_ref loop, config::Config config, config::Fronts fronts, hooks::Loaded loaded,
+         std::string file, std::string fronts_file);
   void run();  // until it has stopped
 
  private:
@@ -37,8 +41,8 @@
   void on_prepare(ev::prepare& prepare, int events);
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
+  void on_hooks(ev::timer& timer, int events);
   void pump();
-  void admit(core::Submission& asked);
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
   [[nodiscard]] bool unwritten() const;
@@ -54,26 +58,29 @@
   void run(const core::Log& effect);
   void run(const core::ReadConfiguration&);
   void run(const core::FollowChangeLog& effect) { changelog_.follow(effect.address); }
+  void run(const core::RunHook& effect) { runner_.run(effect); }
+  void run(const core::DropHook& effect) { runner_.run(effect); }
+  void run(const core::RenewHook& effect) { runner_.run(effect); }
+  void run(const core::RetireHook& effect) { runner_.run(effect); }
   void run(const core::Exit&);
 
   ev::loop_ref loop_;
-  std::string file_;
+  std::string file_, fronts_file_;
   config::Config config_;
   config::Fronts fronts_;
   std::uint64_t handles_ = 0;
   std::deque<core::Event> events_;
   core::Effects effects_;
   core::Reducer reducer_;
+  hooks::Runner runner_;
   std::unique_ptr<net::EngineDriver> engines_;
   std::unique_ptr<platform::Front> front_;
   // Off on the platform.
   std::unique_ptr<directory::Ldap> directory_;
-  std::unique_ptr<plugin::Admission> plugin_;
   std::unique_ptr<mysql::Front> mysql_;
-  core::Time plugin_logged_{};
   platform::ChangeLog changelog_;
   platform::Peers peers_;
-  ev::timer tick_, call_;
+  ev::timer tick_, call_, hooks_turn_;
   ev::prepare prepare_;
   ev::sig term_, interrupt_, hangup_;
 };
--- a/src/config/fronts.cpp
+++ b/src/config/fronts.cpp
@@ -1,83 +1,212 @@
 #include "config/fronts.hpp"
 
+#include <algorithm>
+#include <cctype>
 #include <cstdlib>
 
-#include "config/read.hpp"
+#include "hcl/parse.hpp"
+#include "hcl/reader.hpp"
+#include "net/socket.hpp"
 
 namespace bellstair::config {
 namespace {
-using nlohmann::json;
+using namespace std::chrono_literals;
+using hcl::Reader;
 
-std::string secret(const json& in, const char* key) {
-  const auto variable = text(need(in, key), key);
+constexpr std::int64_t kGiga = 1'000'000'000;
+
+std::string secret(Reader& in, const char* name) {
+  const auto variable = in.text(name);
   const char* value = std::getenv(variable.c_str());
-  if (value == nullptr) bad(key, "names an environment variable that is not set");
-  return value;
+  if (value == nullptr && !variable.empty())
+    in.wrong(name, "names an environment variable that is not set: '" + variable + "'");
+  return value == nullptr ? "" : value;
+}
+
+std::string address(Reader& in, const char* name) {
+  auto out = in.text(name);
+  if (!out.empty() && !net::parse_address(out)) in.wrong(name, "is not an address with a port");
+  return out;
 }
 
-core::Time ms_or(const json& in, const char* key, std::uint64_t otherwise) {
-  const auto found = in.find(key);
-  const auto value = found == in.end() ? otherwise : whole(*found, key);
-  if (value == 0 || value > 86'400'000) bad(key, "is out of range");
-  return std::chrono::milliseconds(value);
+// One of the settings' names.
+template <class Map>
+void check_name(Reader& in, const char* field, const std::string& value, const Map& names, const char* what) {
+  if (names.contains(value)) return;
+  std::set<std::string> known;
+  for (const auto& [name, index] : names) known.insert(name);
+  const auto meant = hcl::nearest(value, known);
+  in.wrong(field, "'" + value + "' is no " + what + " of the settings" +
+                      (meant ? ": did you mean '" + *meant + "'?" : ""));
 }
 
-MysqlFront parse_mysql(const json& in, const Names& names, bool directory) {
+MysqlFront parse_mysql(Reader& in, const Names& names, bool directory) {
   MysqlFront out;
-  out.listen = text(need(in, "listen"), "mysql.listen");
-  check_address(out.listen, "mysql.listen");
+  out.listen = address(in, "listen");
   // A directory takes passwords as they are, and there is no TLS here to hide them.
-  if (directory && !out.listen.starts_with("127."))
-    bad("mysql.listen", "must be a loopback address beside a directory");
-  if (const auto users = in.find("users"); users != in.end()) {
-    for (const json& user : list(*users, "mysql.users")) {
-      object(user, "mysql.users[]");
-      out.users.push_back({text(need(user, "name"), "mysql.users[].name"), secret(user, "password_env"),
-                           text(need(user, "tenant"), "mysql.users[].tenant")});
-      if (!names.tenants.contains(out.users.back().tenant)) bad("mysql.users[].tenant", "is in no settings");
-    }
+  if (directory && !out.listen.empty() && !out.listen.starts_with("127."))
+    in.wrong("listen", "must be a loopback address beside a directory");
+  const auto add = [&](Reader& user, std::string name) {
+    out.users.push_back({std::move(name), secret(user, "password_env"), user.text("tenant")});
+    check_name(user, "tenant", out.users.back().tenant, names.tenants, "tenant");
+    user.finish();
+  };
+  for (auto& user : in.blocks("user", 1)) add(user.reader, user.labels[0]);
+  for (auto& user : in.blocks("users")) {  // the form of older files
+    auto name = user.reader.text("name");
+    add(user.reader, std::move(name));
   }
-  if (out.users.empty() && !directory) bad("mysql.users", "names nobody, and there is no directory");
+  if (out.users.empty() && !directory) in.wrong("", "names no user, and there is no directory");
+  in.finish();
   return out;
 }
 
-Directory parse_directory(const json& in) {
+Directory parse_directory(Reader& in) {
   Directory out;
-  out.address = text(need(in, "address"), "directory.address");
-  check_address(out.address, "directory.address");
-  out.base = text(need(in, "base"), "directory.base");
-  out.bind_dn = text_or_none(in, "bind_dn");
-  if (!out.bind_dn.empty()) out.bind_password = secret(in, "bind_password_env");
-  const auto or_else = [&](const char* key, const char* otherwise) {
-    auto given = text_or_none(in, key);
-    return given.empty() ? std::string(otherwise) : given;
-  };
-  out.user_attribute = or_else("user_attribute", "uid");
-  out.tenant_attribute = or_else("tenant_attribute", "o");
-  out.timeout = ms_or(in, "timeout_ms", 2000);
-  out.cache = ms_or(in, "cache_ms", 60000);
+  out.address = address(in, "address");
+  out.base = in.text("base");
+  out.bind_dn = in.text("bind_dn", "");
+  if (!out.bind_dn.empty() || in.has("bind_password_env"))
+    out.bind_password = secret(in, "bind_password_env");
+  out.user_attribute = in.text("user_attribute", "uid");
+  out.tenant_attribute = in.text("tenant_attribute", "o");
+  out.timeout = in.duration("timeout", 2s, {1ms, 24h}, "timeout_ms");
+  out.cache = in.duration("cache", 60s, {1ms, 24h}, "cache_ms");
+  in.finish();
+  return out;
+}
+
+hooks::Limits parse_limits(Reader& in) {
+  hooks::Limits out;
+  out.share = in.number("share", out.share, {0.01, 0.9});
+  out.burst = in.duration("burst", out.burst, {100us, 100ms});
+  out.turn = in.duration("turn", out.turn, {50us, 10ms});
+  if (auto breaker = in.block("breaker")) {
+    auto& b = breaker->reader;
+    out.failures = static_cast<unsigned>(b.whole("failures", out.failures, {1, 1000}));
+    out.pause = b.duration("pause", out.pause, {10ms, 1h});
+    out.most_pause = b.duration("most_pause", out.most_pause, {10ms, 24h});
+    out.trials = static_cast<unsigned>(b.whole("trials", out.trials, {1, 1000}));
+    if (out.most_pause < out.pause) b.wrong("most_pause", "is less than pause");
+    b.finish();
+  }
+  in.finish();
+  return out;
+}
+
+hooks::Match parse_match(Reader& in, const Names& names) {
+  hooks::Match out;
+  for (const auto& name : in.texts("class")) {
+    check_name(in, "class", name, names.classes, "class");
+    if (const auto found = names.classes.find(name); found != names.classes.end())
+      out.classes.push_back(found->second);
+  }
+  for (const auto& name : in.texts("tenant")) {
+    check_name(in, "tenant", name, names.tenants, "tenant");
+    if (const auto found = names.tenants.find(name); found != names.tenants.end())
+      out.tenants.push_back(found->second);
+  }
+  if (in.has("front")) out.front = static_cast<std::uint8_t>(in.choice("front", kFrontNames, 0));
+  out.contains = in.text("statement_contains", "");
+  if (out.contains.size() > 256) in.wrong("statement_contains", "is longer than 256 bytes");
+  in.finish();
+  return out;
+}
+
+hooks::Spec parse_hook(Reader& in, const std::string& name, const Names& names) {
+  hooks::Spec out;
+  out.name = name;
+  const auto plain = [](unsigned char c) { return std::isalnum(c) != 0 || c == '_' || c == '-' || c == '.'; };
+  if (name.empty() || name.size() > 64 || !std::ranges::all_of(name, plain))
+    in.wrong("", "a hook's name has 1 to 64 letters, digits, '-', '_' or '.'");
+  out.path = in.text("script");
+  auto phases = in.texts("phases");
+  if (!in.has("phases")) phases = {hooks::kPhaseNames[0]};
+  for (const auto& phase : phases) {
+    const auto found = std::ranges::find(hooks::kPhaseNames, phase);
+    if (found == hooks::kPhaseNames.end()) {
+      in.wrong("phases", "'" + phase + "' is no phase: expected \"request\", \"answer\" or \"timer\"");
+    } else {
+      out.phases[static_cast<std::size_t>(found - hooks::kPhaseNames.begin())] = true;
+    }
+  }
+  if (phases.empty()) in.wrong("phases", "names no phase");
+  out.order = in.whole("order", 0, {-kGiga, kGiga});
+  out.time = in.duration("time", out.time, {10us, 1s}, "time_ms");
+  out.wait = in.duration("wait", std::max(out.wait, out.time), {1ms, 10s});
+  out.slice = in.duration("slice", out.slice, {20us, 2ms});
+  out.every = in.duration("every", out.every, {10ms, 24h});
+  out.instructions = static_cast<std::uint64_t>(in.whole("instructions", 1'000'000, {1000, kGiga}));
+  out.memory = in.size("memory", out.memory, {64 << 10, 64 << 20}, "memory_kb");
+  out.state = in.size("state", out.state, {0, 64 << 20});
+  out.at_once = static_cast<std::size_t>(in.whole("at_once", 8, {1, 256}));
+  out.refuse_on_failure = in.choice("on_failure", {"pass", "refuse"}, 0) == 1;
+  out.later = in.duration("later", out.later, {1ms, 1h});
+  if (auto match = in.block("match")) out.match = parse_match(match->reader, names);
+  if (in.has("every") && !out.phases[static_cast<std::size_t>(hooks::Phase::timer)])
+    in.wrong("every", "is for phase \"timer\" only");
+  in.finish();
   return out;
 }
+
+hooks::Set parse_hooks(Reader& top, const Names& names) {
+  hooks::Set out;
+  if (auto limits = top.block("hooks")) out.limits = parse_limits(limits->reader);
+  for (auto& hook : top.blocks("hook", 1)) {
+    auto spec = parse_hook(hook.reader, hook.labels[0], names);
+    if (std::ranges::find(out.hooks, spec.name, &hooks::Spec::name) != out.hooks.end())
+      hook.reader.wrong("", "stands a second time");
+    out.hooks.push_back(std::move(spec));
+  }
+  // The one script of older files.
+  if (auto plugin = top.block("plugin")) out.hooks.push_back(parse_hook(plugin->reader, "plugin", names));
+  if (out.hooks.size() > hooks::kMostHooks)
+    top.wrong("hook", "there are more than " + std::to_string(hooks::kMostHooks));
+  return out;
+}
+
 }  // namespace
 
-Fronts parse_fronts(std::string_view in, const Names& names) {
-  const json all = parse_json(in, "fronts");
+Fronts parse_fronts(std::string_view text, const std::string& file, const Names& names) {
+  const auto body = hcl::parse(text, file);
+  std::vector<hcl::Problem> problems;
+  Reader top(body, "", problems);
   Fronts out;
-  if (const auto directory = all.find("directory"); directory != all.end())
-    out.directory = parse_directory(object(*directory, "directory"));
-  if (const auto mysql = all.find("mysql"); mysql != all.end())
-    out.mysql = parse_mysql(object(*mysql, "mysql"), names, out.directory.has_value());
-  if (const auto engines = all.find("mysql_engines"); engines != all.end()) {
-    object(*engines, "mysql_engines");
-    out.mysql_engines =
-        MysqlEngines{text(need(*engines, "user"), "mysql_engines.user"), secret(*engines, "password_env")};
+  if (auto directory = top.block("directory")) out.directory = parse_directory(directory->reader);
+  if (auto mysql = top.block("mysql"))
+    out.mysql = parse_mysql(mysql->reader, names, out.directory.has_value());
+  if (auto engines = top.block("mysql_engines")) {
+    auto& in = engines->reader;
+    auto user = in.text("user");
+    out.mysql_engines = MysqlEngines{std::move(user), secret(in, "password_env")};
+    in.finish();
   }
-  if (const auto plugin = all.find("plugin"); plugin != all.end()) {
-    object(*plugin, "plugin");
-    const auto kilobytes = plugin->find("memory_kb");
-    out.plugin = Plugin{text(need(*plugin, "script"), "plugin.script"), ms_or(*plugin, "time_ms", 2),
-                        1024 * (kilobytes == plugin->end() ? 1024 : whole(*kilobytes, "plugin.memory_kb"))};
+  out.hooks = parse_hooks(top, names);
+  top.finish();
+  if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
+  return out;
+}
+
+hooks::Set parse_hooks(std::string_view text, const std::string& file, Names& names, bool open) {
+  const auto body = hcl::parse(text, file);
+  std::vector<hcl::Problem> problems;
+  Reader top(body, "", problems);
+  if (open) {
+    std::vector<hcl::Problem> ignored;
+    Reader look(body, "", ignored);
+    for (auto& hook : look.blocks("hook", 1)) {
+      auto match = hook.reader.block("match");
+      if (!match) continue;
+      for (const auto& name : match->reader.texts("class"))
+        names.classes.emplace(name, static_cast<std::uint16_t>(names.classes.size()));
+      for (const auto& name : match->reader.texts("tenant"))
+        names.tenants.emplace(name, static_cast<std::uint32_t>(names.tenants.size()));
+    }
   }
+  auto out = parse_hooks(top, names);
+  for (const char* other : {"mysql", "mysql_engines", "directory"}) (void)top.has(other);
+  top.finish();
+  if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
   return out;
 }
 
--- a/src/config/fronts.hpp
+++ b/src/config/fronts.hpp
@@ -1,4 +1,4 @@
-// What is off on the platform: the program's own file, `deploy/fronts.json` in this repository.
+// What is off on the platform: the operator's own file in HCL, `deploy/bellstair.hcl` in this repository.
 #pragma once
 
 #include <optional>
@@ -7,36 +7,42 @@
 #include <vector>
 
 #include "config/config.hpp"
+#include "hooks/spec.hpp"
 
 namespace bellstair::config {
 
 struct MysqlUser {
   std::string name, password, tenant;
+  bool operator==(const MysqlUser&) const = default;
 };
 struct MysqlFront {
   std::string listen;
   std::vector<MysqlUser> users;
+  bool operator==(const MysqlFront&) const = default;
 };
 struct MysqlEngines {  // the engines of the change log speak MySQL too
   std::string user, password;
-};
-struct Plugin {
-  std::string script;  // a file's path
-  core::Time time{};   // for one call
-  std::size_t memory = 0;
+  bool operator==(const MysqlEngines&) const = default;
 };
 struct Directory {  // LDAP
   std::string address, bind_dn, bind_password, base, user_attribute, tenant_attribute;
   core::Time timeout{}, cache{};
+  bool operator==(const Directory&) const = default;
 };
 struct Fronts {
   std::optional<MysqlFront> mysql;
   std::optional<MysqlEngines> mysql_engines;
-  std::optional<Plugin> plugin;
   std::optional<Directory> directory;
+  hooks::Set hooks;
 };
 
-// Secrets are named by the environment variable that holds them. Throws Invalid.
-[[nodiscard]] Fronts parse_fronts(std::string_view json, const Names& names);
+// The names of fronts in settings and scripts, by core::FrontKind.
+inline const std::vector<std::string> kFrontNames{"platform", "mysql"};
+
+// Secrets are named by the environment variable that holds them. Throws hcl::Invalid, with all that is wrong.
+[[nodiscard]] Fronts parse_fronts(std::string_view text, const std::string& file, const Names& names);
+
+// Only what is about hooks. `open`: classes and tenants that `names` does not hold are added to it.
+[[nodiscard]] hooks::Set parse_hooks(std::string_view text, const std::string& file, Names& names, bool open);
 
 }  // namespace bellstair::config
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "heronwell/gateway.hpp"
+#include "hooks/spec.hpp"
 
 namespace bellstair::core {
 
@@ -26,9 +27,12 @@
   auto operator<=>(const AttemptId&) const = default;
 };
 
+enum class FrontKind : std::uint8_t { platform, mysql };
+
 // A request as a front has understood it. Bodies are opaque here.
 struct Submission {
   Client client = 0;
+  FrontKind front = FrontKind::platform;
   ClassIndex cls = 0;
   std::uint32_t tenant = 0;
   std::uint64_t order_key = 0;  // 0: none
@@ -41,7 +45,6 @@
   std::string nonce;   // its idempotency key, or none
   std::string body;
   std::string parameters;
-  std::optional<Time> barred;  // refused at admission: how long to stay away
 };
 
 struct Member {
@@ -103,15 +106,23 @@
 struct ConfigurationRead {  // again, because it was asked for
   std::string problem;      // why it can't be used; the old one stays then
   std::string changelog;
-  std::vector<std::string> fixed;  // fields that have changed and need a restart
+  std::vector<std::string> fixed;   // fields that have changed and need a restart
+  std::optional<hooks::Set> hooks;  // loaded and tried
+};
+struct HookRan {
+  hooks::Ran ran;
+};
+struct HookRenewed {
+  hooks::Renewed renewed;
 };
+struct HooksTurn {};  // a turn of the loop in which calls that wait may go on
 struct Tick {
   bool unwritten = false;  // a front or engine driver still has something to write
 };
 
-using Event =
-    std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptHeard,
-                 AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead, Tick>;
+using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptHeard,
+                           AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead,
+                           HookRan, HookRenewed, HooksTurn, Tick>;
 
 // ---- effects
 
@@ -162,10 +173,15 @@
 struct FollowChangeLog {      // there from now on; the number of the last event carries on
   std::string address;
 };
+using RunHook = hooks::Run;  // then report HookRan, before anything else of a hook
+using DropHook = hooks::Drop;
+using RenewHook = hooks::Renew;  // then report HookRenewed
+using RetireHook = hooks::Retire;
 struct Exit {};
 
-using Effect = std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers,
-                            EngineMoved, Log, ReadConfiguration, FollowChangeLog, Exit>;
+using Effect =
+    std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers, EngineMoved,
+                 Log, ReadConfiguration, FollowChangeLog, RunHook, DropHook, RenewHook, RetireHook, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace bellstair::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -1,6 +1,7 @@
 #include "core/reducer.hpp"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 namespace bellstair::core {
@@ -13,6 +14,8 @@
 constexpr Time kLastCall = 15ms;
 // An answer this close to the deadline is told as timed out, to the fronts that make a difference.
 constexpr Time kTimedOut = 60ms;
+// Lines of the log about tagged requests in a second.
+constexpr unsigned kMostTagged = 50;
 
 std::size_t weight(const Submission& asked) {
   constexpr std::size_t kEach = 1024;  // for what stands beside the texts
@@ -40,14 +43,21 @@
 }
 }  // namespace
 
-Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes)
-    : settings_(settings), gateway_(std::move(settings), seed), most_bytes_(most_bytes) {}
+Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes, hooks::Set hooks)
+    : settings_(settings),
+      gateway_(std::move(settings), seed),
+      hooks_(std::move(hooks)),
+      most_bytes_(most_bytes) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
   now_ = std::max(now_, now);
   out_ = &out;
   std::visit([this](auto& e) { on(e); }, event);
-  if (const auto due = next_call(); due && now_ >= *due) consult();
+  settle_hooks();
+  if (const auto due = next_call(); due && now_ >= *due) {
+    consult();
+    settle_hooks();
+  }
 }
 
 std::optional<Time> Reducer::next_call() const {
@@ -133,7 +143,6 @@
 
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
-  if (asked.barred) return put(Answer{asked.client, AnswerKind::refused, *asked.barred, {}, {}});
   const auto bytes = weight(asked);
   if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
@@ -142,6 +151,46 @@
   if (!asked.ticket.empty() && !tickets_.insert(asked.ticket).second)
     return put(Answer{asked.client, AnswerKind::failed, {}, {}, {}});
   const auto id = ++last_request_;
+  by_client_[asked.client] = id;
+  auto& request = requests_[id];
+  request.since = now_;
+  request.deadline = now_ + asked.limit;
+  request.asked = std::move(asked);
+  held_bytes_ += bytes;
+  ++owed_;
+  wheel_.arm(request.deadline - kLastCall, {Alarm::Kind::deadline, {id, 0}});
+  if (hooks_.any(hooks::Phase::request) || !lines_.empty()) {
+    const auto& taken = request.asked;
+    hooks::Subject subject;
+    subject.cls = taken.cls;
+    subject.tenant = taken.tenant;
+    subject.front = static_cast<std::uint8_t>(taken.front);
+    subject.statement_size = taken.body.size();
+    subject.limit = taken.limit;
+    subject.cpu = taken.cost;
+    subject.ram = taken.memory_mb;
+    subject.group = taken.data_group;
+    subject.second = taken.repeat;
+    const bool inside = hooks_.enter(now_, id, std::move(subject), taken.body);
+    // One that comes behind another of its key stays behind it, whether a hook is for it or not.
+    const bool behind = in_line(taken) && (inside || lines_.contains(taken.order_key));
+    if (behind) lines_[taken.order_key].push_back(id);
+    request.place = inside ? Place::hooks : behind ? Place::line : Place::module;
+    if (request.place != Place::module) return;
+  }
+  hand_over(id, request);
+}
+
+// ---- requests on their way through their hooks
+
+bool Reducer::in_line(const Submission& asked) const {
+  return asked.order_key != 0 && settings_.classes[asked.cls].in_order;
+}
+
+// The module hears of it.
+void Reducer::hand_over(RequestId id, Request& request) {
+  request.place = Place::module;
+  const auto& asked = request.asked;
   heronwell::Arrival arrival;
   arrival.request = id;
   arrival.cls = asked.cls;
@@ -151,16 +200,105 @@
   arrival.memory_mb = asked.memory_mb;
   arrival.data_group = asked.data_group;
   arrival.repeat = asked.repeat;
-  by_client_[asked.client] = id;
-  auto& request = requests_[id];
-  request.deadline = now_ + asked.limit;
-  request.asked = std::move(asked);
-  held_bytes_ += bytes;
-  ++owed_;
-  wheel_.arm(request.deadline - kLastCall, {Alarm::Kind::deadline, {id, 0}});
   news_.push_back(arrival);
 }
 
+// Its hooks are through with it, or its answer is fixed: those behind it may go on.
+void Reducer::step_out(RequestId id, Request& request) {
+  if (request.place == Place::module) return;
+  if (request.place == Place::hooks) hooks_.leave(id);
+  request.place = Place::module;
+  const auto line = lines_.find(request.asked.order_key);
+  if (line == lines_.end() || !in_line(request.asked)) return;
+  std::erase(line->second, id);
+  moved_lines_.push_back(line->first);
+}
+
+void Reducer::advance_line(std::uint64_t key) {
+  const auto line = lines_.find(key);
+  if (line == lines_.end()) return;
+  auto& waiting = line->second;
+  while (!waiting.empty()) {
+    auto& request = requests_.at(waiting.front());
+    if (request.place == Place::hooks) return;
+    hand_over(waiting.front(), request);
+    waiting.pop_front();
+  }
+  lines_.erase(line);
+}
+
+void Reducer::let_through(hooks::Passed& passed) {
+  auto* request = find(passed.owner);
+  if (request == nullptr || request->answered) return;
+  request->tags = std::move(passed.subject.tags);
+  if (passed.refused) {
+    const Time pause =
+        settings_.retry_after ? std::min(*passed.refused, settings_.max_retry_after) : Time::zero();
+    answer(passed.owner, *request, AnswerKind::refused, pause, {});
+    return forget_if_done(passed.owner);
+  }
+  auto& asked = request->asked;
+  asked.cost = passed.subject.cpu;
+  asked.memory_mb = passed.subject.ram;
+  asked.repeat = passed.subject.second;
+  if (!in_line(asked)) return hand_over(passed.owner, *request);
+  request->place = Place::line;
+  moved_lines_.push_back(asked.order_key);
+}
+
+// What the hooks' decisions have come to, until there is nothing more to be done about them in this step.
+void Reducer::settle_hooks() {
+  while (!hooks_.passed.empty() || !moved_lines_.empty()) {
+    auto passed = std::exchange(hooks_.passed, {});
+    for (auto& through : passed) let_through(through);
+    const auto moved = std::exchange(moved_lines_, {});
+    for (const auto key : moved) advance_line(key);
+  }
+  hooks_.dispatch(now_);
+  for (auto& command : hooks_.commands) std::visit([this](auto& c) { put(std::move(c)); }, command);
+  hooks_.commands.clear();
+  for (auto& line : hooks_.said) put(Log{std::move(line)});
+  hooks_.said.clear();
+}
+
+// To hooks of phase answer, and to the log if it was tagged.
+void Reducer::tell_end(const Request& request, AnswerKind kind, Time pause) {
+  constexpr std::array kKinds{"served", "refused", "failed", "timed_out"};
+  const auto& asked = request.asked;
+  const char* const what = kKinds.at(static_cast<std::size_t>(kind));
+  if (hooks_.any(hooks::Phase::answer)) {
+    hooks::Subject end;
+    end.cls = asked.cls;
+    end.tenant = asked.tenant;
+    end.front = static_cast<std::uint8_t>(asked.front);
+    end.tags = request.tags;
+    end.kind = what;
+    end.duration = now_ - request.since;
+    end.later = pause;
+    end.attempts = request.attempts.size();
+    hooks_.told(now_, end, asked.body);
+  }
+  if (request.tags.empty()) return;
+  if (now_ >= tags_second_ + 1s) {
+    if (tags_unsaid_ > 0) put(Log{"tagged: " + std::to_string(tags_unsaid_) + " more requests"});
+    tags_second_ = now_;
+    tags_lines_ = tags_unsaid_ = 0;
+  }
+  if (++tags_lines_ > kMostTagged) {
+    ++tags_unsaid_;
+    return;
+  }
+  std::string tags;
+  for (const auto& tag : request.tags) tags += (tags.empty() ? "" : ",") + tag;
+  const auto tenant =
+      asked.tenant < settings_.tenants.size() ? settings_.tenants[asked.tenant].name : std::string();
+  put(Log{
+      "tagged: tags=" + tags + " class=" + settings_.classes[asked.cls].name + " tenant=" + tenant +
+      " end=" + what + " ms=" +
+      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now_ - request.since).count()) +
+      " attempts=" + std::to_string(request.attempts.size())});
+}
+
 void Reducer::on(const Cancelled& cancelled) {
   const auto found = by_client_.find(cancelled.client);
   if (found == by_client_.end()) return;
@@ -169,7 +307,8 @@
   request.answered = true;  // nothing is owed any more
   by_client_.erase(found);
   --owed_;
-  news_.push_back(heronwell::ClientLeft{id});
+  if (request.place == Place::module) news_.push_back(heronwell::ClientLeft{id});
+  step_out(id, request);
   forget_if_done(id);
 }
 
@@ -220,7 +359,8 @@
     outcome.memory_mb = told->memory_mb;
     outcome.load = std::move(told->load);
     if (result == Result::served && !request.answered)
-      answer(request, AnswerKind::served, Time::zero(), std::move(told->body), std::move(told->shape));
+      answer(id.request, request, AnswerKind::served, Time::zero(), std::move(told->body),
+             std::move(told->shape));
     if (result != Result::served && !told->body.empty()) request.last_word = std::move(told->body);
   }
   outcome.closed = request.answered;
@@ -253,16 +393,26 @@
 
 // What was taken, the engines known and the module's state carry on: only where news come from may change.
 void Reducer::on(ConfigurationRead& read) {
-  if (!read.problem.empty()) return put(Log{"the configuration stays as it was: " + read.problem});
+  for (std::size_t at = 0; at < read.problem.size();) {  // a line for each
+    const auto end = std::min(read.problem.find('\n', at), read.problem.size());
+    put(Log{"the configuration stays as it was: " + read.problem.substr(at, end - at)});
+    at = end + 1;
+  }
+  if (!read.problem.empty()) return;
   std::string said = "the configuration was read again";
   for (std::size_t i = 0; i < read.fixed.size(); ++i)
     said += (i == 0 ? "; changed, but of use only after a restart: " : ", ") + read.fixed[i];
+  if (read.hooks) {
+    said += "; hooks: " + std::to_string(read.hooks->hooks.size());
+    hooks_.install(now_, std::move(*read.hooks));
+  }
   put(Log{std::move(said)});
   put(FollowChangeLog{std::move(read.changelog)});
 }
 
 void Reducer::on(const Tick& tick) {
   wheel_.advance(now_, [this](const Alarm& alarm) { on(alarm); });
+  hooks_.tick(now_);
   if (lifecycle_.overdue(now_)) give_up_all();
   // What stays in the table without an answer owed waits for engines to hear that it was given up.
   if (!lifecycle_.advance(now_, owed_ > 0, tick.unwritten || !requests_.empty())) return;
@@ -284,10 +434,11 @@
         request.attempts.empty() || set.effect == heronwell::Effect::safe ||
         (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
     const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
-    harmless ? answer(request, AnswerKind::refused, pause, {}) : answer(request, AnswerKind::failed, {}, {});
+    if (request.place == Place::module) news_.push_back(heronwell::ClientLeft{id});
+    harmless ? answer(id, request, AnswerKind::refused, pause, {})
+             : answer(id, request, AnswerKind::failed, {}, {});
     for (std::size_t n = 0; n < request.attempts.size(); ++n)
       abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
-    news_.push_back(heronwell::ClientLeft{id});
     forget_if_done(id);
   }
 }
@@ -302,8 +453,8 @@
       return;
     case Alarm::Kind::deadline:
       if (auto* request = find(alarm.id.request); request != nullptr && !request->answered) {
-        answer(*request, AnswerKind::timed_out, Time::zero(), {});
-        news_.push_back(heronwell::ClientLeft{alarm.id.request});
+        if (request->place == Place::module) news_.push_back(heronwell::ClientLeft{alarm.id.request});
+        answer(alarm.id.request, *request, AnswerKind::timed_out, Time::zero(), {});
         forget_if_done(alarm.id.request);
       }
       return;
@@ -341,7 +492,7 @@
 void Reducer::act(const heronwell::Refuse& refuse) {
   auto* request = find(refuse.request);
   if (request == nullptr || request->answered) return;
-  answer(*request, AnswerKind::refused, refuse.pause, {});
+  answer(refuse.request, *request, AnswerKind::refused, refuse.pause, {});
   forget_if_done(refuse.request);
 }
 
@@ -349,7 +500,7 @@
   auto* request = find(fail.request);
   if (request == nullptr || request->answered) return;
   const bool late = now_ >= request->deadline - kTimedOut;
-  answer(*request, late ? AnswerKind::timed_out : AnswerKind::failed, Time::zero(), {});
+  answer(fail.request, *request, late ? AnswerKind::timed_out : AnswerKind::failed, Time::zero(), {});
   forget_if_done(fail.request);
 }
 
@@ -378,12 +529,15 @@
 void Reducer::act(heronwell::Tell& tell) { put(TellPeers{tell.to, std::move(tell.bytes)}); }
 void Reducer::act(heronwell::Trace& trace) { put(Log{std::move(trace.text)}); }
 
-void Reducer::answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape) {
+void Reducer::answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
+                     std::string shape) {
   if (kind != AnswerKind::served) body = request.last_word;
   request.answered = true;
   by_client_.erase(request.asked.client);
   --owed_;
+  step_out(id, request);
   put(Answer{request.asked.client, kind, pause, std::move(body), std::move(shape)});
+  tell_end(request, kind, pause);
 }
 
 void Reducer::forget_if_done(RequestId id) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -2,6 +2,7 @@
 // actions into effects. Knows no wire, and no clock but the one it is told.
 #pragma once
 
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 #include "core/lifecycle.hpp"
 #include "core/wheel.hpp"
 #include "heronwell/gateway.hpp"
+#include "hooks/control.hpp"
 
 namespace bellstair::core {
 
@@ -21,7 +23,8 @@
 
   // What requests hold may take `most_bytes`; beyond that they are refused, since to be killed for memory
   // would lose them all.
-  Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20);
+  Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20,
+          hooks::Set hooks = {});
 
   // `now` is Unix time; should the system's clock step back, time stands still here instead.
   void reduce(Time now, Event event, Effects& out);
@@ -29,6 +32,9 @@
   [[nodiscard]] const Lifecycle& lifecycle() const { return lifecycle_; }
   // When the module is to be called next for what has happened already; none: it has heard all.
   [[nodiscard]] std::optional<Time> next_call() const;
+  // When calls of hooks can go on, in a turn of their own (HooksTurn); none: no call waits.
+  [[nodiscard]] std::optional<Time> hooks_due() const { return hooks_.due(now_); }
+  [[nodiscard]] std::vector<hooks::Status> hooks() const { return hooks_.status(); }
   [[nodiscard]] std::size_t owed() const { return owed_; }  // requests without their final answer
   [[nodiscard]] std::size_t held() const { return requests_.size(); }
 
@@ -41,9 +47,14 @@
     bool timed_out = false;
     std::uint8_t priority = 1;
   };
+  // Where a request is before it is answered: inside its hooks; through them, but behind another of its key
+  // that is not; or with the module, which has heard of it.
+  enum class Place { hooks, line, module };
   struct Request {
     Submission asked;
-    Time deadline{};
+    Place place = Place::module;
+    std::vector<std::string> tags;
+    Time since{}, deadline{};
     bool answered = false;
     double memory_mb = 0;
     std::uint8_t priority = 1;
@@ -68,6 +79,9 @@
   void on(const StopAsked&);
   void on(const ReloadAsked&) { put(ReadConfiguration{}); }
   void on(ConfigurationRead& read);
+  void on(HookRan& ran) { hooks_.ran(now_, std::move(ran.ran)); }
+  void on(const HookRenewed& renewed) { hooks_.renewed(now_, renewed.renewed); }
+  void on(const HooksTurn&) { hooks_.turn(now_); }
   void on(const Tick& tick);
   void on(const Alarm& alarm);
 
@@ -83,8 +97,16 @@
   void act(heronwell::Trace& trace);
 
   void consult();
+  void settle_hooks();
+  void let_through(hooks::Passed& passed);
+  void hand_over(RequestId id, Request& request);
+  void step_out(RequestId id, Request& request);
+  void advance_line(std::uint64_t key);
+  void tell_end(const Request& request, AnswerKind kind, Time pause);
+  [[nodiscard]] bool in_line(const Submission& asked) const;
   void give_up_all();
-  void answer(Request& request, AnswerKind kind, Time pause, std::string body, std::string shape = {});
+  void answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
+              std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
   void abandon(AttemptId id, Attempt& attempt, bool timed_out);
   void forget_if_done(RequestId id);
@@ -103,6 +125,12 @@
   std::unordered_map<EngineId, std::vector<Time>> probes_;  // when each one that is out was sent
   std::vector<heronwell::Event> news_;                      // for the module's next call
   std::vector<heronwell::Action> actions_;
+  hooks::Control hooks_;
+  // By key of order: requests that the module has not heard of, as they came.
+  std::unordered_map<std::uint64_t, std::deque<RequestId>> lines_;
+  std::vector<std::uint64_t> moved_lines_;
+  Time tags_second_{};  // lines about tagged requests, in the second that began then
+  unsigned tags_lines_ = 0, tags_unsaid_ = 0;
   RequestId last_request_ = 0;
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
   bool fleet_told_ = false;
--- /dev/null
+++ b/src/hooks/runner.cpp
@@ -0,0 +1,109 @@
+#include "hooks/runner.hpp"
+
+#include <csignal>
+#include <utility>
+
+namespace bellstair::hooks {
+
+Runner::Runner(ev::loop_ref loop, Words words, Post post)
+    : words_(std::move(words)), post_(std::move(post)), done_watch_(loop) {
+  done_watch_.set<Runner, &Runner::on_done>(this);
+}
+
+Runner::~Runner() {
+  if (!thread_.joinable()) return;
+  {
+    const std::lock_guard lock(mutex_);
+    ending_ = true;
+  }
+  more_.notify_one();
+  thread_.join();
+}
+
+void Runner::adopt(Loaded& loaded) {
+  for (std::size_t i = 0; i < loaded.machines.size(); ++i) {
+    const auto& spec = loaded.set.hooks[i];
+    auto& store = stores_.try_emplace(spec.name, spec.state).first->second;
+    store.bound(spec.state);
+    loaded.machines[i]->remember(&store);
+    held_[spec.id] = {spec, std::move(loaded.machines[i])};
+  }
+}
+
+void Runner::later(std::function<std::function<void()>()> work) {
+  if (!thread_.joinable()) {
+    done_watch_.start();
+    // Signals are the loop's.
+    sigset_t all, before;
+    sigfillset(&all);
+    pthread_sigmask(SIG_BLOCK, &all, &before);
+    thread_ = std::thread([this] { this->work(); });
+    pthread_sigmask(SIG_SETMASK, &before, nullptr);
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    asked_.push_back(std::move(work));
+  }
+  more_.notify_one();
+}
+
+void Runner::work() {
+  while (true) {
+    std::function<std::function<void()>()> next;
+    {
+      std::unique_lock lock(mutex_);
+      more_.wait(lock, [this] { return ending_ || !asked_.empty(); });
+      if (ending_) return;
+      next = std::move(asked_.front());
+      asked_.pop_front();
+    }
+    auto then = next();
+    {
+      const std::lock_guard lock(mutex_);
+      done_.push_back(std::move(then));
+    }
+    done_watch_.send();
+  }
+}
+
+void Runner::on_done(ev::async&, int) {
+  std::deque<std::function<void()>> done;
+  {
+    const std::lock_guard lock(mutex_);
+    done.swap(done_);
+  }
+  for (const auto& then : done) then();
+}
+
+void Runner::run(const Run& run) {
+  const auto found = held_.find(run.hook);
+  if (found == held_.end()) return;
+  post_(core::HookRan{found->second.machine->run(run)});
+}
+
+void Runner::run(const Drop& drop) {
+  if (const auto found = held_.find(drop.hook); found != held_.end()) found->second.machine->drop(drop.job);
+}
+
+void Runner::run(const Renew& renew) {
+  const auto found = held_.find(renew.hook);
+  if (found == held_.end()) return;
+  later([this, spec = found->second.spec]() -> std::function<void()> {
+    auto problem = std::make_shared<std::string>();
+    std::shared_ptr<Machine> fresh = Machine::make(spec, words_, kMostLoad, *problem);
+    return [this, problem, fresh, id = spec.id] {
+      const auto held = held_.find(id);
+      if (held == held_.end()) return;
+      if (fresh) {
+        fresh->remember(&stores_.at(held->second.spec.name));
+        held->second.machine = fresh;
+      }
+      post_(core::HookRenewed{{id, *problem}});
+    };
+  });
+}
+
+// The store stays: a hook of the same name may come again.
+void Runner::run(const Retire& retire) { held_.erase(retire.hook); }
+
+}  // namespace bellstair::hooks
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -7,9 +7,10 @@
 #include <string>
 
 #include "app/broker.hpp"
+#include "app/hook_tool.hpp"
 #include "config/config.hpp"
 #include "config/fronts.hpp"
-#include "plugin/admission.hpp"
+#include "hooks/load.hpp"
 
 namespace {
 
@@ -20,15 +21,18 @@
     "\n"
     "  serve         run one broker, in the foreground, until SIGTERM\n"
     "  check-config  read the configuration, say what is wrong with it, and exit\n"
+    "  hook check    load and try the hooks of an operator's file: hook check FILE\n"
+    "  hook run      show hooks requests of the operator's own: hook run FILE --cases CASES\n"
     "  version       print the version\n"
     "\n"
     "  -c, --config FILE   the platform's configuration; by default what BALANCER_CONFIG names\n"
-    "  -f, --fronts FILE   what is off on the platform: MySQL, plug-ins, directories; by default nothing is "
+    "  -f, --fronts FILE   the operator's own file, in HCL: MySQL, hooks, directories; by default nothing is "
     "on\n"
+    "  -t, --cases FILE    requests for 'hook run', as JSON, one a line\n"
     "  -h, --help          this text\n";
 
 struct Options {
-  std::string command, config, fronts;
+  std::string command, config, fronts, cases;
 };
 
 [[noreturn]] void usage_error(const std::string& what) {
@@ -41,11 +45,13 @@
   if (const char* config = std::getenv("BALANCER_CONFIG")) out.config = config;
   const option kOptions[] = {{"config", required_argument, nullptr, 'c'},
                              {"fronts", required_argument, nullptr, 'f'},
+                             {"cases", required_argument, nullptr, 't'},
                              {"help", no_argument, nullptr, 'h'},
                              {nullptr, 0, nullptr, 0}};
-  for (int c = 0; (c = getopt_long(argc, argv, "c:f:h", kOptions, nullptr)) != -1;) {
+  for (int c = 0; (c = getopt_long(argc, argv, "c:f:t:h", kOptions, nullptr)) != -1;) {
     if (c == 'c') out.config = optarg;
     if (c == 'f') out.fronts = optarg;
+    if (c == 't') out.cases = optarg;
     if (c == 'h') {
       std::fputs(kUsage, stdout);
       std::exit(0);
@@ -54,6 +60,12 @@
   }
   if (optind >= argc) usage_error("no command");
   out.command = argv[optind];
+  if (out.command == "hook") {
+    if (optind + 3 != argc) usage_error("'hook' takes 'check' or 'run', and a file");
+    out.command += std::string(" ") + argv[optind + 1];
+    out.fronts = argv[optind + 2];
+    return out;
+  }
   if (optind + 1 < argc)
     usage_error(std::string("one command at a time, not '") + argv[optind + 1] + "' too");
   return out;
@@ -67,6 +79,9 @@
     std::printf("bellstair %s\n", kVersion);
     return 0;
   }
+  if (options.command == "hook check" || options.command == "hook run")
+    return bellstair::app::hook_tool(options.command == "hook run", options.fronts, options.config,
+                                     options.cases);
   if (options.command != "serve" && options.command != "check-config")
     usage_error("unknown command '" + options.command + "'");
   // A signal that comes before the program can heed it waits; Broker::run() lets it through.
@@ -79,15 +94,19 @@
     auto config = bellstair::config::parse(read_file(options.config, "configuration"));
     bellstair::config::Fronts fronts;
     if (!options.fronts.empty())
-      fronts = bellstair::config::parse_fronts(read_file(options.fronts, "fronts"), config.names);
+      fronts =
+          bellstair::config::parse_fronts(read_file(options.fronts, "fronts"), options.fronts, config.names);
+    auto loaded = bellstair::hooks::load(fronts.hooks, bellstair::app::words_of(config));
+    for (const auto& problem : loaded.problems) std::fprintf(stderr, "bellstair: %s\n", problem.c_str());
+    if (!loaded.problems.empty()) return 1;
     if (options.command == "check-config") {
-      if (fronts.plugin)
-        bellstair::plugin::Admission(*fronts.plugin, config.names, config.settings.max_retry_after);
       std::puts("the configuration is fine");
       return 0;
     }
     ev::default_loop loop(0);
-    bellstair::app::Broker(loop, std::move(config), std::move(fronts), options.config).run();
+    bellstair::app::Broker(loop, std::move(config), std::move(fronts), std::move(loaded), options.config,
+                           options.fronts)
+        .run();
     return 0;
   } catch (const std::exception& error) {
     std::fprintf(stderr, "bellstair: %s\n", error.what());
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -249,6 +249,7 @@
     char ticket[17];
     std::snprintf(ticket, sizeof ticket, "%016llx", static_cast<unsigned long long>(tickets_()));
     asked.ticket = ticket;
+    asked.front = core::FrontKind::mysql;
     asked.client = ++handles_;
     connection.phase = Phase::running;
     connection.client = asked.client;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -176,19 +176,6 @@
   EXPECT_TRUE(d.all<Answer>().empty());
 }
 
-TEST(Reducer, WhatIsRefusedAtAdmissionNeverReachesTheModule) {
-  Driven d;
-  Submission asked;
-  asked.client = 5;
-  asked.limit = 2s;
-  asked.barred = 250ms;
-  d.at(10ms, Arrived{asked});
-  ASSERT_EQ(d.all<Answer>().size(), 1U);
-  EXPECT_EQ(d.all<Answer>()[0].kind, AnswerKind::refused);
-  EXPECT_EQ(d.all<Answer>()[0].pause, 250ms);
-  EXPECT_EQ(d.reducer.held(), 0U);
-}
-
 // To be killed for memory would lose all that is held.
 TEST(Reducer, WhatMemoryCannotHoldIsRefused) {
   Effects effects;
--- /dev/null
+++ b/tests/hooked_core_test.cpp
@@ -0,0 +1,255 @@
+// Requests inside their hooks, as the core sees them: taken, owed their one final answer, and in their place.
+#include <gtest/gtest.h>
+
+#include "core/reducer.hpp"
+
+namespace bellstair::core {
+namespace {
+using namespace std::chrono_literals;
+
+heronwell::Settings settings() {
+  heronwell::Settings s;
+  s.kinds = {{"std-8", 8, 16384}};
+  heronwell::ClassSettings lookup;
+  lookup.name = "lookup";
+  lookup.aim = 400ms;
+  lookup.give_up = 2s;
+  auto load = lookup;
+  load.name = "load";
+  load.effect = heronwell::Effect::keyed;
+  load.window = 10s;
+  load.in_order = true;
+  s.classes = {lookup, load};
+  s.tenants.resize(1);
+  s.tenants[0].name = "acme";
+  s.max_attempts = 4;
+  s.max_open = 8;
+  s.may_call_off = s.retry_after = true;
+  s.max_retry_after = 500ms;
+  return s;
+}
+
+hooks::Set hooked(bool answers = false) {
+  hooks::Spec spec;
+  spec.id = 1;
+  spec.name = "h";
+  spec.phases = {true, answers, false};
+  spec.time = 1s;
+  spec.wait = 10s;
+  spec.match.contains = "hooked";
+  return {{}, {spec}};
+}
+
+class Hooked {
+ public:
+  explicit Hooked(hooks::Set set = hooked()) : reducer(settings(), 1, std::size_t{64} << 20, std::move(set)) {
+    Member engine;
+    engine.entry.engine = 7;
+    engine.entry.state = heronwell::EngineState::ready;
+    engine.address = "127.0.0.1:1";
+    at(0ms, Listening{});
+    at(0ms, FleetChange{true, {engine}, true});
+    at(0ms, Tick{});
+  }
+  void at(Time after, Event event) {
+    now += after;
+    feed(std::move(event));
+    // The machine yields for as long as the test has not said how a call ends.
+    for (int slices = 0; slices < 3 && slice; ++slices) {
+      const auto run = *std::exchange(slice, std::nullopt);
+      hooks::Ran ran;
+      ran.job = run.job;
+      ran.hook = run.hook;
+      ran.cpu = 1us;
+      ran.how = hooks::Ran::How::yielded;
+      if (const auto end = ends.find(run.job); end != ends.end()) {
+        ran.how = hooks::Ran::How::done;
+        ran.verdict = end->second;
+      }
+      feed(HookRan{ran});
+    }
+  }
+  void feed(Event event) {
+    Effects made;
+    reducer.reduce(now, std::move(event), made);
+    for (auto& effect : made) {
+      if (const auto* run = std::get_if<RunHook>(&effect)) {
+        slice = *run;
+        if (run->first) calls.push_back(*run);
+      }
+      effects.push_back(std::move(effect));
+    }
+  }
+  void pass(Time time) {
+    for (const Time end = now + time; now < end;) {
+      at(0ms, HooksTurn{});
+      at(std::min<Time>(5ms, end - now), Tick{});
+    }
+  }
+  void ask(Client client, const std::string& statement, ClassIndex cls = 0, std::uint64_t key = 0,
+           Time limit = 2s) {
+    Submission asked;
+    asked.client = client;
+    asked.cls = cls;
+    asked.limit = limit;
+    asked.order_key = key;
+    asked.body = statement;
+    if (cls == 1) asked.nonce = "n" + std::to_string(client);
+    at(1ms, Arrived{asked});
+  }
+  void end(std::size_t call, hooks::Verdict verdict = {}) {
+    ends[calls.at(call).job] = std::move(verdict);
+    pass(10ms);
+  }
+  template <class T>
+  std::vector<T> all() const {
+    std::vector<T> out;
+    for (const auto& effect : effects) {
+      if (const auto* e = std::get_if<T>(&effect)) out.push_back(*e);
+    }
+    return out;
+  }
+  // Statements in the order in which they left.
+  std::vector<std::string> sent() {
+    for (bool more = true; more;) {
+      more = false;
+      const auto starts = all<StartAttempt>();
+      if (begun < starts.size()) {
+        more = true;
+        at(0ms, AttemptReady{starts[begun++].id});
+      }
+    }
+    std::vector<std::string> out;
+    for (const auto& transmit : all<Transmit>()) out.push_back(transmit.body);
+    return out;
+  }
+  void serve(std::size_t attempt) {
+    AttemptEnded ended;
+    ended.id = all<Transmit>().at(attempt).id;
+    ended.end = AttemptEnd::served;
+    at(5ms, ended);
+    pass(10ms);
+  }
+
+  Time now = 1'700'000'000s;
+  Reducer reducer;
+  Effects effects;
+  std::optional<RunHook> slice;  // the slice that was asked for and has not run
+  std::vector<RunHook> calls;
+  std::map<hooks::JobId, hooks::Verdict> ends;
+  std::size_t begun = 0;
+};
+
+TEST(HookedCore, LabelsReachTheModuleAndARefusalIsTheFinalAnswer) {
+  Hooked h;
+  h.ask(1, "hooked 1");
+  h.ask(2, "hooked 2");
+  EXPECT_TRUE(h.sent().empty());
+  h.end(0, {50ms, 64.0, {}, {}, {"tag"}});
+  h.end(1, {{}, {}, {}, 5s, {}});
+  EXPECT_EQ(h.sent(), std::vector<std::string>{"hooked 1"});
+  ASSERT_EQ(h.all<Answer>().size(), 1U);
+  EXPECT_EQ(h.all<Answer>()[0].client, 2U);
+  EXPECT_EQ(h.all<Answer>()[0].pause, 500ms) << "no longer than the settings allow";
+  h.serve(0);
+  EXPECT_EQ(h.all<Answer>().size(), 2U);
+  EXPECT_EQ(h.reducer.held(), 0U);
+  const auto logs = h.all<Log>();
+  EXPECT_TRUE(std::ranges::any_of(logs, [](const auto& l) {
+    return l.text.find("tagged: tags=tag class=lookup tenant=acme end=served") == 0;
+  }));
+}
+
+TEST(HookedCore, OrderByKeyIsKeptWhileTheFirstIsInside) {
+  // The first ends well, is refused, or its client leaves: the one behind it goes on then, and not before.
+  for (const int how : {0, 1, 2}) {
+    Hooked h;
+    h.ask(1, "hooked first", 1, 42);
+    h.ask(2, "second", 1, 42);
+    h.ask(3, "other key", 1, 43);
+    h.pass(50ms);
+    EXPECT_EQ(h.sent(), std::vector<std::string>{"other key"}) << how;
+    if (how == 0) h.end(0);
+    if (how == 1) h.end(0, {{}, {}, {}, 100ms, {}});
+    if (how == 2) h.at(1ms, Cancelled{1});
+    h.pass(50ms);
+    auto sent = h.sent();
+    ASSERT_EQ(sent.size(), 2U) << how;
+    EXPECT_EQ(sent[1], how == 0 ? "hooked first" : "second");
+    if (how != 0) continue;
+    h.serve(1);
+    h.pass(50ms);
+    EXPECT_EQ(h.sent().at(2), "second");
+  }
+}
+
+TEST(HookedCore, TheDeadlineComesWhileARequestIsInside) {
+  Hooked h;
+  h.ask(1, "hooked", 0, 0, 300ms);
+  h.pass(290ms);
+  ASSERT_EQ(h.all<Answer>().size(), 1U);
+  EXPECT_EQ(h.all<Answer>()[0].kind, AnswerKind::timed_out);
+  EXPECT_EQ(h.reducer.held(), 0U);
+  h.end(0);
+  EXPECT_EQ(h.all<Answer>().size(), 1U);
+  EXPECT_FALSE(h.all<DropHook>().empty());
+  EXPECT_TRUE(h.sent().empty());
+}
+
+TEST(HookedCore, RequestsInsideAreOwedAndCountAsOpen) {
+  Hooked h;
+  for (Client client = 1; client <= 9; ++client) h.ask(client, "hooked");
+  EXPECT_EQ(h.reducer.owed(), 8U);
+  ASSERT_EQ(h.all<Answer>().size(), 1U) << "the ninth is more than may be open";
+  h.at(1ms, Cancelled{3});
+  EXPECT_EQ(h.reducer.owed(), 7U);
+  EXPECT_EQ(h.reducer.held(), 7U);
+}
+
+TEST(HookedCore, AStopWaitsForThoseInsideAndGivesThemUpInTime) {
+  Hooked h;
+  h.ask(1, "hooked", 0, 0, 20s);
+  h.ask(2, "hooked", 0, 0, 20s);
+  h.at(1ms, StopAsked{});
+  h.pass(1s);
+  EXPECT_EQ(h.reducer.lifecycle().phase(), Phase::draining);
+  h.end(0);
+  EXPECT_EQ(h.sent().size(), 1U) << "what was taken before is finished";
+  h.serve(0);
+  h.pass(Lifecycle::kMostDrain);
+  ASSERT_EQ(h.all<Answer>().size(), 2U);
+  EXPECT_EQ(h.all<Answer>()[1].kind, AnswerKind::refused);
+  EXPECT_EQ(h.reducer.lifecycle().phase(), Phase::exited);
+}
+
+TEST(HookedCore, AReloadLeavesThoseInsideToTheOldHooks) {
+  Hooked h;
+  h.ask(1, "hooked");
+  ConfigurationRead read;
+  read.hooks = hooks::Set{};
+  h.at(1ms, read);
+  h.ask(2, "hooked too");
+  h.pass(10ms);
+  EXPECT_EQ(h.sent(), std::vector<std::string>{"hooked too"});
+  h.end(0, {{}, {}, {}, 100ms, {}});
+  ASSERT_EQ(h.all<Answer>().size(), 1U);
+  EXPECT_EQ(h.all<Answer>()[0].client, 1U);
+  EXPECT_EQ(h.all<RetireHook>().size(), 1U);
+}
+
+TEST(HookedCore, TheEndOfARequestIsToldToHooksOfPhaseAnswer) {
+  Hooked h(hooked(true));
+  h.ask(1, "hooked");
+  h.end(0, {{}, {}, {}, {}, {"t"}});
+  h.sent();
+  h.serve(0);
+  const auto& runs = h.calls;
+  ASSERT_EQ(runs.back().phase, hooks::Phase::answer);
+  EXPECT_STREQ(runs.back().subject.kind, "served");
+  EXPECT_EQ(runs.back().subject.tags, std::vector<std::string>{"t"});
+  EXPECT_EQ(runs.back().subject.attempts, 1U);
+  EXPECT_GT(runs.back().subject.duration, 0ms);
+}
+
+}  // namespace
+}  // namespace bellstair::core
--- a/tests/net/extras_test.cpp
+++ b/tests/net/extras_test.cpp
@@ -1,4 +1,4 @@
-// Plug-ins and directories, with the real program.
+// Directories, with the real program.
 #include <gtest/gtest.h>
 
 #include "directory/ldap.hpp"
@@ -9,72 +9,6 @@
 namespace {
 using namespace std::string_literals;
 
-// ---- plug-ins
-
-class Scripted {
- public:
-  explicit Scripted(const std::string& script, int time_ms = 10000)
-      : file_(temporary(script)),
-        engine([](const Call&) { return rows("a\tb\tc\n"); }),
-        broker({{"s-00000001", engine.server.address()}},
-               {{"plugin", {{"script", file_}, {"time_ms", time_ms}}}}),
-        client(broker.address) {}
-  ~Scripted() { ::unlink(file_.c_str()); }
-  json ask(const std::string& statement) {
-    client.ask(++last_, "lookup", statement);
-    return client.answer();
-  }
-
- private:
-  std::string file_;
-  int last_ = 0;
-
- public:
-  HttpEngine engine;
-  Broker broker;
-  Client client;
-};
-
-TEST(Plugin, AScriptMayRefuseARequestBeforeTheModuleTakesIt) {
-  Scripted s(R"(function admit(r)
-    if r.tenant == "acme" and r.class == "lookup" and string.contains(r.statement, "sales_9.") then return {refuse = 120} end
-    return {ram = 64}
-  end)");
-  const auto error = s.ask("SELECT a FROM sales_9.x")["error"];
-  EXPECT_EQ(error["code"], -32066);
-  EXPECT_EQ(error["data"]["later"], 120);
-  EXPECT_EQ(body(s.ask("SELECT a FROM sales_8.x")), "a\tb\tc\n");
-  EXPECT_EQ(s.engine.posts(), 1U);
-}
-
-TEST(Plugin, AScriptThatFailsChangesNothingAndIsLogged) {
-  for (const auto& [script, said] :
-       {std::pair{"function admit(r) while true do end end", "it took too long"},
-        {"function admit(r) local t = {} while true do t[#t + 1] = r.statement .. #t end end",
-         "not enough memory"},
-        {"function admit(r) return {refuse = 'never'} end", "'refuse' is no number in range"},
-        {"function admit(r) return os.exit(1) end", "attempt to index a nil value"},
-        {"function admit(r) error(42) end", "it failed"}}) {
-    Scripted s(script, said == std::string("it took too long") ? 20 : 10000);
-    EXPECT_EQ(body(s.ask("SELECT 1")), "a\tb\tc\n") << script;
-    s.broker.program->said(said);
-  }
-}
-
-TEST(Plugin, AScriptThatCannotBeUsedIsToldAtTheStart) {
-  const auto script = temporary("function admit(r"),
-             fronts = temporary(json{{"plugin", {{"script", script}}}}.dump());
-  const auto config = temporary(json{
-      {"listen", "127.0.0.1:0"},
-      {"changelog", "127.0.0.1:1"},
-      {"seed", "1"},
-      {"settings", settings()}}.dump());
-  Program program({"check-config", "--config", config, "--fronts", fronts});
-  program.said("plugin.script: ");
-  EXPECT_NE(program.wait(), 0);
-  for (const auto& file : {script, fronts, config}) ::unlink(file.c_str());
-}
-
 // ---- directories: RFC 4511, as much of it as a search and two binds need
 
 std::string tlv(int tag, const std::string& value) {
--- /dev/null
+++ b/tests/net/hooks_test.cpp
@@ -0,0 +1,225 @@
+// Hooks in the real program: both fronts, runaways, reloads and ends.
+#include <gtest/gtest.h>
+
+#include "harness.hpp"
+#include "mysql_client.hpp"
+
+namespace bellstair::test {
+namespace {
+
+constexpr const char* kRunaway =
+    "function on_request(r) if string.contains(r.statement, 'wild') then while true do end end end";
+
+std::string ticket(int number) {
+  char out[17];
+  std::snprintf(out, sizeof out, "%016x", static_cast<unsigned>(number) + 1U);
+  return out;
+}
+
+class Scripted {
+ public:
+  explicit Scripted(const std::string& script, json more = json::object(), json hooks = json::object(),
+                    bool mysql = false)
+      : file(temporary(script)),
+        engine([](const Call&) { return rows("a\tb\tc\n"); }),
+        broker({{"s-00000001", engine.server.address()}},
+               settings(file, std::move(more), std::move(hooks), mysql)),
+        client(broker.address) {}
+  ~Scripted() { ::unlink(file.c_str()); }
+  static json settings(const std::string& script, json more, json hooks, bool mysql) {
+    more["script"] = script;
+    json out{{"hook", {{"h", more}}}, {"hooks", hooks}};
+    if (mysql)
+      out["mysql"] = {{"listen", "127.0.0.1:0"},
+                      {"user", {{"gateway", {{"password_env", "TEST_SECRET"}, {"tenant", "acme"}}}}}};
+    return out;
+  }
+  json ask(const std::string& statement) {
+    client.ask(++last_, "lookup", statement, {{"txn", ticket(1'000'000 + last_)}});
+    return client.answer();
+  }
+  void rewrite(const std::string& script) {
+    std::ofstream(file) << script;
+    broker.program->signal(SIGHUP);
+  }
+  std::string file;
+
+ private:
+  int last_ = 0;
+
+ public:
+  HttpEngine engine;
+  Broker broker;
+  Client client;
+};
+
+TEST(Hooks, BothFrontsGetTheSameVerdicts) {
+  Scripted s(R"(function on_request(r)
+    if r.tenant == "acme" and r.class == "lookup" and string.contains(r.statement, "sales_9.") then return {refuse = 120} end
+    return {ram = 64, tags = {r.front}}
+  end)",
+             {}, {}, true);
+  const auto error = s.ask("SELECT a FROM sales_9.x")["error"];
+  EXPECT_EQ(error["code"], -32066);
+  EXPECT_EQ(error["data"]["later"], 120);
+  EXPECT_EQ(body(s.ask("SELECT a FROM sales_8.x")), "a\tb\tc\n");
+  MysqlClient mysql(s.broker.program->listens("mysql.listen"));
+  mysql.query("SELECT a FROM sales_9.x");
+  EXPECT_EQ(mysql.error.code, 50001);
+  EXPECT_NE(mysql.error.message.find("120 ms"), std::string::npos);
+  EXPECT_EQ(mysql.query("SELECT a FROM sales_8.x").size(), 1U);
+  EXPECT_EQ(s.engine.posts(), 2U);
+  s.broker.program->said("tagged: tags=platform class=lookup tenant=acme end=served");
+  s.broker.program->said("tagged: tags=mysql class=lookup tenant=acme end=served");
+}
+
+TEST(Hooks, AScriptThatFailsChangesNothingAndIsLogged) {
+  for (const auto& [script, said] :
+       {std::pair{"while true do end", "it took too long"},
+        {"local t = {} while true do t[#t + 1] = r.statement .. #t end", "it took too much memory"},
+        {"return {refuse = 'never'}", "'refuse' is no number in range"},
+        {"return os.exit(1)", "attempt to index a nil value"}}) {
+    // The script behaves when it is tried, so that it is let in.
+    Scripted s(
+        "function on_request(r) if r.statement ~= 'SELECT 2' then return end " + std::string(script) + " end",
+        {{"time", "500ms"}, {"wait", "10s"}, {"instructions", 1000000000}});
+    EXPECT_EQ(body(s.ask("SELECT 2")), "a\tb\tc\n") << script;
+    s.broker.program->said(said);
+  }
+}
+
+TEST(Hooks, ARunawayIsCutOffTakenOutTriedAgainAndMendedByReload) {
+  Scripted s(kRunaway, {{"on_failure", "refuse"}, {"later", "30ms"}},
+             {{"breaker", {{"failures", 3}, {"pause", "20ms"}, {"most_pause", "40ms"}}}});
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(s.ask("wild")["error"]["data"]["later"], 30);
+  s.broker.program->said("hook h: it took too long");
+  s.broker.program->said("hook h is out for 0.02 s");
+  EXPECT_EQ(s.ask("SELECT 1")["error"]["code"], -32066) << "while it is out, its failure's way is gone";
+  // It is tried again, and is back: nothing is wrong with tame statements.
+  for (json answer; !answer.contains("result");) answer = s.ask("SELECT 1");
+  s.broker.program->said("hook h is on trial");
+  while (s.ask("SELECT 1").contains("error")) {
+  }
+  s.rewrite("function on_request(r) return {tags = {'mended'}} end");
+  s.broker.program->said("the configuration was read again; hooks: 1");
+  EXPECT_EQ(body(s.ask("wild")), "a\tb\tc\n");
+  s.broker.program->said("tags=mended");
+}
+
+TEST(Hooks, ABadSetIsRefusedWholeAndTheOldOneGoesOn) {
+  Scripted s("function on_request(r) return {tags = {'first'}} end");
+  for (const auto& [script, said] :
+       {std::pair{"function on_request(", "hook \"h\": h:1:"},
+        {"while true do end", "hook \"h\": it took too long to load"},
+        {"function on_request(r) error('never') end", "hook \"h\": on_request: it failed"}}) {
+    s.rewrite(script);
+    s.broker.program->said("the configuration stays as it was: " + std::string(said));
+    EXPECT_EQ(body(s.ask("SELECT 1")), "a\tb\tc\n");
+  }
+  s.broker.program->said("tags=first");
+}
+
+TEST(Hooks, WhatAHookRemembersOutlivesAReload) {
+  const std::string count =
+      "function on_request(r) return {tags = {'n' .. math.tointeger(state.incr('n', 60))}} end";
+  Scripted s(count);
+  s.ask("SELECT 1");
+  s.ask("SELECT 1");
+  s.broker.program->said("tags=n2");
+  s.rewrite(count + " -- again");
+  s.broker.program->said("the configuration was read again");
+  s.ask("SELECT 1");
+  s.broker.program->said("tags=n3");
+}
+
+// A flood inside a runaway; beside it, what no hook is for passes untouched, and all get one answer.
+TEST(Hooks, AFloodInsideARunawayLeavesOthersAlone) {
+  Scripted s(kRunaway, {{"match", {{"statement_contains", "wild"}}}, {"wait", "5s"}, {"time", "20ms"}},
+             {{"breaker", {{"failures", 1000}}}, {"share", 0.1}});
+  Client flood(s.broker.address);
+  constexpr int kFlood = 60;
+  for (int i = 1; i <= kFlood; ++i) flood.ask(i, "lookup", "wild", {{"txn", ticket(i)}});
+  for (int i = 0; i < 20; ++i) EXPECT_EQ(body(s.ask("SELECT 1")), "a\tb\tc\n");
+  std::set<int> answered;
+  for (int i = 0; i < kFlood; ++i) EXPECT_TRUE(answered.insert(flood.answer()["id"].get<int>()).second);
+  EXPECT_EQ(answered.size(), static_cast<std::size_t>(kFlood));
+}
+
+TEST(Hooks, AClientThatLeavesAndAStopAreHeededWhileARequestIsInside) {
+  Scripted s(kRunaway, {{"wait", "10s"}, {"time", "1s"}, {"instructions", 1000000000}}, {{"share", 0.01}});
+  {
+    Client leaver(s.broker.address);
+    leaver.ask(1, "lookup", "wild", {{"txn", ticket(1)}});
+    EXPECT_TRUE(leaver.green());
+  }
+  s.client.ask(77, "lookup", "wild", {{"txn", ticket(2)}});
+  s.broker.program->signal(SIGTERM);
+  const auto answer = s.client.answer();
+  EXPECT_EQ(answer["id"], 77);
+  EXPECT_EQ(answer["error"]["code"], -32066) << "it has never run";
+  EXPECT_EQ(s.broker.program->wait(), 0);
+}
+
+TEST(Hooks, TimersAndEndsAreTold) {
+  Scripted s(R"(
+    function on_timer() log("timer") end
+    function on_answer(a) log("end " .. a.kind .. " " .. a.class .. " " .. math.tointeger(a.attempts)) end)",
+             {{"phases", {"answer", "timer"}}, {"every", "10ms"}});
+  s.ask("SELECT 1");
+  s.broker.program->said("hook h says: end served lookup 1");
+  s.broker.program->said("hook h says: timer");
+}
+
+// ---- the command line
+
+struct Tried {
+  int status = 0;
+  std::string out;
+};
+Tried bellstair(const std::string& arguments) {
+  Tried out;
+  FILE* pipe = ::popen((std::string(BELLSTAIR_PROGRAM) + " " + arguments + " 2>&1").c_str(), "r");
+  char buffer[4096];
+  for (std::size_t got = 0; (got = std::fread(buffer, 1, sizeof buffer, pipe)) > 0;)
+    out.out.append(buffer, got);
+  out.status = WEXITSTATUS(::pclose(pipe));
+  return out;
+}
+
+TEST(HookTool, TriesCasesAndTellsWhatTheyCost) {
+  const auto script = temporary(kRunaway);
+  const auto file =
+      temporary("hook \"h\" {\n script = \"" + script + "\"\n match { tenant = \"lycee-ennour\" }\n}\n");
+  const auto cases = temporary(
+      R"({"name": "tame", "request": {"tenant": "lycee-ennour"}, "expect": {"pass": "taken"}}
+{"name": "wild", "request": {"tenant": "lycee-ennour", "statement": "wild"}, "expect": {"pass": "taken"}}
+{"name": "other", "request": {"tenant": "ecole-el-amal"}, "expect": {"pass": "untouched"}}
+)");
+  const auto tried = bellstair("hook run " + file + " --cases " + cases);
+  EXPECT_EQ(tried.status, 0) << tried.out;
+  EXPECT_NE(tried.out.find("it was cut off"), std::string::npos) << tried.out;
+  EXPECT_NE(tried.out.find("3 cases, 0 wrong"), std::string::npos);
+  const auto wrong = temporary(R"({"request": {"tenant": "lycee-ennour"}, "expect": {"pass": "refused"}})");
+  const auto failed = bellstair("hook run " + file + " --cases " + wrong);
+  EXPECT_EQ(failed.status, 1);
+  EXPECT_NE(failed.out.find("pass is \\\"taken\\\", not \\\"refused\\\""), std::string::npos) << failed.out;
+  EXPECT_EQ(bellstair("hook check " + file).status, 0);
+  std::ofstream(script) << "function on_request(";
+  const auto checked = bellstair("hook check " + file);
+  EXPECT_EQ(checked.status, 1);
+  EXPECT_NE(checked.out.find("hook \"h\": h:1:"), std::string::npos) << checked.out;
+  for (const auto& path : {script, file, cases, wrong}) ::unlink(path.c_str());
+}
+
+TEST(HookTool, MistakesOfTheFileNameTheirPlace) {
+  const auto file = temporary("hook \"h\" {\n  scirpt = \"x\"\n}\n");
+  const auto tried = bellstair("hook check " + file);
+  EXPECT_EQ(tried.status, 1);
+  EXPECT_NE(tried.out.find(file + ":2:3: hook \"h\": unknown attribute 'scirpt': did you mean 'script'?"),
+            std::string::npos)
+      << tried.out;
+  ::unlink(file.c_str());
+}
+
+}  // namespace
+}  // namespace bellstair::test
--- a/tests/net/mysql_client.hpp
+++ b/tests/net/mysql_client.hpp
@@ -44,8 +44,9 @@
                        const std::string& password = "secret", const char* plugin = my::kCachingSha2)
       : socket(Socket::to(address)), wire(socket) {
     const auto greeting = my::read_greeting(wire.take());
-    const auto answer = plugin == my::kNativePassword ? my::native_answer(password, greeting.nonce)
-                                                      : my::sha2_answer(password, greeting.nonce);
+    const auto answer = std::string_view(plugin) == my::kNativePassword
+                            ? my::native_answer(password, greeting.nonce)
+                            : my::sha2_answer(password, greeting.nonce);
     wire.give(my::write_login({kCapabilities, user, answer, plugin, {}}));
     login = wire.take();
     if (login[0] == '\xfe') {  // asked for the password itself, as a directory needs it
