--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -12,6 +12,7 @@
 namespace {
 using namespace std::chrono_literals;
 
+core::Time monotonic_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 core::Time unix_now() { return std::chrono::system_clock::now().time_since_epoch(); }
 
 double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
@@ -87,6 +88,7 @@
       call_(loop),
       hooks_turn_(loop),
       prepare_(loop),
+      check_(loop),
       term_(loop),
       interrupt_(loop),
       hangup_(loop) {
@@ -117,6 +119,7 @@
   call_.set<Broker, &Broker::on_call>(this);
   hooks_turn_.set<Broker, &Broker::on_hooks>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
+  check_.set<Broker, &Broker::on_check>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
@@ -133,6 +136,7 @@
   sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
+  if (!fronts_file_.empty()) check_.start();
   loop_.run(0);
 }
 
@@ -148,6 +152,17 @@
 
 void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
+void Broker::on_check(ev::check&, int) {
+  turn_begun_ = monotonic_now();
+  turn_hooks_ = {};
+}
+
+void Broker::run(core::RunHook& effect) {
+  const auto from = monotonic_now();
+  runner_.run(effect);
+  turn_hooks_ += monotonic_now() - from;
+}
+
 void Broker::on_hooks(ev::timer&, int) { post(core::HooksTurn{}); }
 
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
@@ -162,6 +177,10 @@
     front_->settle();
     if (mysql_) mysql_->settle();
   } while (!events_.empty());
+  if (turn_begun_ != core::Time::zero()) {
+    longest_turn_ = std::max(longest_turn_, monotonic_now() - turn_begun_);
+    longest_hooks_ = std::max(longest_hooks_, turn_hooks_);
+  }
   // What hooks have still to do waits for the next turn, after the sockets.
   if (const auto go_on = reducer_.hooks_due())
     hooks_turn_.start(std::max(0.0, seconds(*go_on - unix_now())), 0);
@@ -228,6 +247,13 @@
   runner_.later(read_again);
 }
 
-void Broker::run(const core::Exit&) { loop_.break_loop(ev::ALL); }
+void Broker::run(const core::Exit&) {
+  if (longest_turn_ != core::Time::zero()) {
+    const auto ms = [](core::Time time) { return std::to_string(seconds(time) * 1e3); };
+    run(core::Log{"loop: longest turn " + ms(longest_turn_) + " ms, most of hooks in one " +
+                  ms(longest_hooks_) + " ms"});
+  }
+  loop_.break_loop(ev::ALL);
+}
 
 }  // namespace bellstair::app
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -42,6 +42,7 @@
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
   void on_hooks(ev::timer& timer, int events);
+  void on_check(ev::check& check, int events);
   void pump();
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
@@ -58,7 +59,7 @@
   void run(const core::Log& effect);
   void run(const core::ReadConfiguration&);
   void run(const core::FollowChangeLog& effect) { changelog_.follow(effect.address); }
-  void run(const core::RunHook& effect) { runner_.run(effect); }
+  void run(core::RunHook& effect);
   void run(const core::DropHook& effect) { runner_.run(effect); }
   void run(const core::RenewHook& effect) { runner_.run(effect); }
   void run(const core::RetireHook& effect) { runner_.run(effect); }
@@ -82,6 +83,10 @@
   platform::Peers peers_;
   ev::timer tick_, call_, hooks_turn_;
   ev::prepare prepare_;
+  // How long the loop was away from its sockets at the most, and hooks' part of it; measured beside hooks
+  // only.
+  ev::check check_;
+  core::Time turn_begun_{}, turn_hooks_{}, longest_turn_{}, longest_hooks_{};
   ev::sig term_, interrupt_, hangup_;
 };
 
--- a/src/config/fronts.cpp
+++ b/src/config/fronts.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cctype>
 #include <cstdlib>
+#include <filesystem>
 
 #include "hcl/parse.hpp"
 #include "hcl/reader.hpp"
@@ -113,13 +114,15 @@
   return out;
 }
 
-hooks::Spec parse_hook(Reader& in, const std::string& name, const Names& names) {
+hooks::Spec parse_hook(Reader& in, const std::string& name, const Names& names, const std::string& file) {
   hooks::Spec out;
   out.name = name;
   const auto plain = [](unsigned char c) { return std::isalnum(c) != 0 || c == '_' || c == '-' || c == '.'; };
   if (name.empty() || name.size() > 64 || !std::ranges::all_of(name, plain))
     in.wrong("", "a hook's name has 1 to 64 letters, digits, '-', '_' or '.'");
-  out.path = in.text("script");
+  // Beside the file, unless the path is a whole one.
+  const auto script = in.text("script");
+  out.path = (std::filesystem::path(file).parent_path() / script).string();
   auto phases = in.texts("phases");
   if (!in.has("phases")) phases = {hooks::kPhaseNames[0]};
   for (const auto& phase : phases) {
@@ -149,17 +152,18 @@
   return out;
 }
 
-hooks::Set parse_hooks(Reader& top, const Names& names) {
+hooks::Set parse_hooks(Reader& top, const Names& names, const std::string& file) {
   hooks::Set out;
   if (auto limits = top.block("hooks")) out.limits = parse_limits(limits->reader);
   for (auto& hook : top.blocks("hook", 1)) {
-    auto spec = parse_hook(hook.reader, hook.labels[0], names);
+    auto spec = parse_hook(hook.reader, hook.labels[0], names, file);
     if (std::ranges::find(out.hooks, spec.name, &hooks::Spec::name) != out.hooks.end())
       hook.reader.wrong("", "stands a second time");
     out.hooks.push_back(std::move(spec));
   }
   // The one script of older files.
-  if (auto plugin = top.block("plugin")) out.hooks.push_back(parse_hook(plugin->reader, "plugin", names));
+  if (auto plugin = top.block("plugin"))
+    out.hooks.push_back(parse_hook(plugin->reader, "plugin", names, file));
   if (out.hooks.size() > hooks::kMostHooks)
     top.wrong("hook", "there are more than " + std::to_string(hooks::kMostHooks));
   return out;
@@ -181,7 +185,7 @@
     out.mysql_engines = MysqlEngines{std::move(user), secret(in, "password_env")};
     in.finish();
   }
-  out.hooks = parse_hooks(top, names);
+  out.hooks = parse_hooks(top, names, file);
   top.finish();
   if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
   return out;
@@ -203,7 +207,7 @@
         names.tenants.emplace(name, static_cast<std::uint32_t>(names.tenants.size()));
     }
   }
-  auto out = parse_hooks(top, names);
+  auto out = parse_hooks(top, names, file);
   for (const char* other : {"mysql", "mysql_engines", "directory"}) (void)top.has(other);
   top.finish();
   if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
--- a/src/hooks/control.cpp
+++ b/src/hooks/control.cpp
@@ -68,7 +68,7 @@
   }
   if (called.empty()) return false;
   for (const auto id : called) ++hooks_.at(id).chains;
-  subject.statement = statement;
+  subject.statement = std::make_shared<const std::string>(statement);
   owners_[owner] = {Chain(std::move(called)), std::move(subject), 0};
   advance(now, owner);
   return true;
@@ -129,8 +129,10 @@
 
 JobId Control::add(Time now, Hook& hook, Phase phase, Owner owner, Subject subject, bool trial) {
   const auto id = ++last_job_;
-  const bool others = std::ranges::any_of(hooks_, [](const auto& h) { return ready(h.second); });
-  if (hook.jobs++ == 0) budget_.awake(hook.spec.id, others);
+  if (hook.jobs++ == 0) {
+    budget_.awake(hook.spec.id, !busy_.empty());
+    busy_.push_back(&hook);
+  }
   jobs_[id] = {hook.spec.id, phase, owner, std::move(subject), false, trial, false, {}, now};
   hook.waiting.push_back(id);
   waits_.emplace(now + hook.spec.wait, id);
@@ -151,7 +153,7 @@
   if (job.begun && !job.over) commands.emplace_back(Drop{id, job.hook});
   if (job.phase == Phase::answer) --hook.answers;
   if (job.phase == Phase::timer) hook.timing = false;
-  --hook.jobs;
+  if (--hook.jobs == 0) std::erase(busy_, &hook);
   jobs_.erase(found);
 }
 
@@ -305,11 +307,13 @@
 
 Control::Hook* Control::pick() {
   Hook* best = nullptr;
-  for (auto& [id, hook] : hooks_) {
-    if (!ready(hook)) continue;
-    if (best == nullptr ||
-        std::pair(budget_.attained(id), id) < std::pair(budget_.attained(best->spec.id), best->spec.id))
-      best = &hook;
+  Time least{};
+  for (auto* hook : busy_) {
+    if (!ready(*hook)) continue;
+    const auto had = busy_.size() == 1 ? Time::zero() : budget_.attained(hook->spec.id);
+    if (best != nullptr && std::pair(had, hook->spec.id) >= std::pair(least, best->spec.id)) continue;
+    best = hook;
+    least = had;
   }
   return best;
 }
--- a/src/hooks/control.hpp
+++ b/src/hooks/control.hpp
@@ -126,6 +126,7 @@
   Limits limits_;
   Budget budget_;
   std::unordered_map<HookId, Hook> hooks_;
+  std::vector<Hook*> busy_;              // those that have calls
   std::vector<HookId> phased_[kPhases];  // of the newest set, in order
   std::unordered_map<JobId, Job> jobs_;
   std::unordered_map<Owner, Inside> owners_;
--- a/src/hooks/machine.cpp
+++ b/src/hooks/machine.cpp
@@ -137,9 +137,16 @@
 }  // namespace
 
 struct Machine::State {
+  // What a script holds of its request: it may keep that for longer than the call lasts.
+  struct View {
+    const Subject* subject;
+    Phase phase;
+  };
   struct Call {
     lua_State* thread = nullptr;
     int ref = LUA_NOREF;
+    View* view = nullptr;  // stands on the thread's stack
+    Subject subject;
   };
 
   std::size_t used = 0, peak = 0, most = 0,
@@ -148,7 +155,7 @@
   const Words* words;
   Words own_words;
   Store* store = nullptr;
-  int keys[kKeys]{}, handlers[kPhases]{LUA_NOREF, LUA_NOREF, LUA_NOREF};
+  int view_methods = LUA_NOREF, keys[kKeys]{}, handlers[kPhases]{LUA_NOREF, LUA_NOREF, LUA_NOREF};
   std::unordered_map<JobId, Call> calls;
   std::vector<Call> spare;
   Spec spec;
@@ -412,10 +419,18 @@
     lua_register(at, "clock", clock);
     if (luaL_loadbufferx(at, kPrelude.data(), kPrelude.size(), "=prelude", "t") != LUA_OK) lua_error(at);
     lua_call(at, 0, 0);
+    lua_createtable(at, 0, 2);  // methods of views
+    lua_createtable(at, 0, kKeys);
     for (std::size_t i = 0; i < kKeys; ++i) {
       lua_pushstring(at, kKeyNames[i]);
+      lua_pushvalue(at, -1);
       self.keys[i] = luaL_ref(at, LUA_REGISTRYINDEX);
+      lua_pushinteger(at, static_cast<lua_Integer>(i));
+      lua_rawset(at, -3);
     }
+    lua_pushcclosure(at, field, 1);
+    lua_setfield(at, -2, "__index");
+    self.view_methods = luaL_ref(at, LUA_REGISTRYINDEX);
     return 0;
   }
   static int compile(lua_State* at) {
@@ -456,74 +471,107 @@
 
   struct Start {
     const Run* run;
-    Call call;
+    lua_State* thread;
+    int ref;
+    View* view;
   };
-  Start start;
+  Start start{};
 
-  void put(lua_State* at, Key key, std::string_view value) const {
-    lua_rawgeti(at, LUA_REGISTRYINDEX, keys[key]);
-    lua_pushlstring(at, value.data(), value.size());
-    lua_rawset(at, -3);
+  static double ms(Time time) { return std::chrono::duration<double, std::milli>(time).count(); }
+  static void push(lua_State* at, std::string_view text) { lua_pushlstring(at, text.data(), text.size()); }
+  static void push(lua_State* at, const std::vector<std::string>& names, std::size_t index) {
+    index < names.size() ? push(at, names[index]) : lua_pushnil(at);
   }
-  void put(lua_State* at, Key key, double value) const {
-    lua_rawgeti(at, LUA_REGISTRYINDEX, keys[key]);
-    push(at, value);
-    lua_rawset(at, -3);
+
+  // request.NAME, read when it is asked for: most scripts want two or three.
+  static int field(lua_State* at) {
+    const auto& view = *static_cast<View*>(lua_touserdata(at, 1));
+    auto& self = of(at);
+    if (view.subject == nullptr) return luaL_error(at, "the request is over");
+    const auto& subject = *view.subject;
+    const bool before = view.phase == Phase::request;
+    lua_pushvalue(at, 2);
+    lua_rawget(at, lua_upvalueindex(1));
+    const auto key = lua_isnil(at, -1) ? kKeys : static_cast<Key>(lua_tointeger(at, -1));
+    switch (key) {
+      case kClass:
+        return push(at, self.words->classes, subject.cls), 1;
+      case kTenant:
+        return push(at, self.words->tenants, subject.tenant), 1;
+      case kFront:
+        return push(at, self.words->fronts, subject.front), 1;
+      case kTags:
+        lua_createtable(at, static_cast<int>(subject.tags.size()), 0);
+        for (std::size_t i = 0; i < subject.tags.size(); ++i) {
+          push(at, subject.tags[i]);
+          lua_rawseti(at, -2, static_cast<lua_Integer>(i + 1));
+        }
+        return 1;
+      default:
+        break;
+    }
+    if (before) {
+      switch (key) {
+        case kStatement:
+          return push(at, subject.statement ? *subject.statement : std::string_view()), 1;
+        case kStatementSize:
+          return push(at, static_cast<double>(subject.statement_size)), 1;
+        case kLimit:
+          return push(at, ms(subject.limit)), 1;
+        case kGroup:
+          return push(at, static_cast<double>(subject.group)), 1;
+        case kCpu:
+          if (!subject.cpu) return 0;
+          return push(at, ms(*subject.cpu)), 1;
+        case kRam:
+          return push(at, subject.ram), 1;
+        case kSecond:
+          return lua_pushboolean(at, subject.second ? 1 : 0), 1;
+        default:
+          break;
+      }
+    } else {
+      switch (key) {
+        case kKind:
+          return push(at, subject.kind), 1;
+        case kDuration:
+          return push(at, ms(subject.duration)), 1;
+        case kAttempts:
+          return push(at, static_cast<double>(subject.attempts)), 1;
+        case kLater:
+          if (subject.later == Time::zero()) return 0;
+          return push(at, ms(subject.later)), 1;
+        default:
+          break;
+      }
+    }
+    // A slip of the pen is better found when the script is tried than never.
+    return luaL_error(at, "there is no field '%s'",
+                      lua_type(at, 2) == LUA_TSTRING ? lua_tostring(at, 2) : "?");
   }
-  static double ms(Time time) { return std::chrono::duration<double, std::milli>(time).count(); }
 
   // Leaves a thread with the handler and what it is told.
   static int prepare(lua_State* at) {
     auto& self = of(at);
-    auto& call = self.start.call;
-    const auto& run = *self.start.run;
-    const auto& subject = run.subject;
-    if (call.thread == nullptr) {
-      call.thread = lua_newthread(at);
-      call.ref = luaL_ref(at, LUA_REGISTRYINDEX);
+    auto& start = self.start;
+    if (start.thread == nullptr) {
+      start.thread = lua_newthread(at);
+      start.ref = luaL_ref(at, LUA_REGISTRYINDEX);
     }
-    lua_settop(call.thread, 0);
-    if (lua_checkstack(call.thread, 8) == 0) luaL_error(at, "not enough memory");
-    lua_rawgeti(at, LUA_REGISTRYINDEX, self.handlers[static_cast<std::size_t>(run.phase)]);
-    if (run.phase == Phase::timer) {
+    if (lua_checkstack(start.thread, 8) == 0) luaL_error(at, "not enough memory");
+    // Below the handler, what it is told stands once more: there it lives as long as the call, whatever the
+    // script does with its own.
+    if (start.run->phase == Phase::timer) {
       lua_pushnil(at);
-      lua_xmove(at, call.thread, 2);
-      return 0;
-    }
-    lua_createtable(at, 0, 12);
-    const auto& words = *self.words;
-    const auto word = [&](Key key, const std::vector<std::string>& names, std::size_t index) {
-      if (index < names.size()) self.put(at, key, names[index]);
-    };
-    word(kClass, words.classes, subject.cls);
-    word(kTenant, words.tenants, subject.tenant);
-    word(kFront, words.fronts, subject.front);
-    if (!subject.tags.empty()) {
-      lua_rawgeti(at, LUA_REGISTRYINDEX, self.keys[kTags]);
-      lua_createtable(at, static_cast<int>(subject.tags.size()), 0);
-      for (std::size_t i = 0; i < subject.tags.size(); ++i) {
-        lua_pushlstring(at, subject.tags[i].data(), subject.tags[i].size());
-        lua_rawseti(at, -2, static_cast<lua_Integer>(i + 1));
-      }
-      lua_rawset(at, -3);
-    }
-    if (run.phase == Phase::request) {
-      self.put(at, kStatement, subject.statement);
-      self.put(at, kStatementSize, static_cast<double>(subject.statement_size));
-      self.put(at, kLimit, ms(subject.limit));
-      self.put(at, kGroup, static_cast<double>(subject.group));
-      if (subject.cpu) self.put(at, kCpu, ms(*subject.cpu));
-      self.put(at, kRam, subject.ram);
-      lua_rawgeti(at, LUA_REGISTRYINDEX, self.keys[kSecond]);
-      lua_pushboolean(at, subject.second ? 1 : 0);
-      lua_rawset(at, -3);
     } else {
-      self.put(at, kKind, subject.kind);
-      self.put(at, kDuration, ms(subject.duration));
-      self.put(at, kAttempts, static_cast<double>(subject.attempts));
-      if (subject.later != Time::zero()) self.put(at, kLater, ms(subject.later));
+      start.view = static_cast<View*>(lua_newuserdatauv(at, sizeof(View), 0));
+      *start.view = {&start.run->subject, start.run->phase};
+      lua_rawgeti(at, LUA_REGISTRYINDEX, self.view_methods);
+      lua_setmetatable(at, -2);
     }
-    lua_xmove(at, call.thread, 2);
+    lua_rawgeti(at, LUA_REGISTRYINDEX, self.handlers[static_cast<std::size_t>(start.run->phase)]);
+    lua_pushvalue(at, -2);
+    lua_xmove(at, start.thread, 3);
     return 0;
   }
 
@@ -593,12 +641,15 @@
     return timed ? thread_cpu() - cpu_from : Time(Clock::now() - begun);
   }
 
-  void put_away(Call call, bool sound) {
+  void put_away(Call& call, bool sound) {
+    if (call.view != nullptr) call.view->subject = nullptr;
+    call.view = nullptr;
+    call.subject = {};
     if (!sound && lua_resetthread(call.thread) != LUA_OK) lua_settop(call.thread, 0);
     // A stack that has grown is not kept for the next one.
     if (sound && spare.size() < 4) {
       lua_settop(call.thread, 0);
-      spare.push_back(call);
+      spare.push_back(std::move(call));
     } else {
       luaL_unref(lua, LUA_REGISTRYINDEX, call.ref);
     }
@@ -649,13 +700,13 @@
     call.first = true;
     call.slice = std::max<Time>(10 * state_->spec.time, std::chrono::milliseconds(100));
     call.now = std::chrono::system_clock::now().time_since_epoch();
-    call.subject.statement = "SELECT 1";
-    call.subject.statement_size = call.subject.statement.size();
+    call.subject.statement = std::make_shared<const std::string>("SELECT 1");
+    call.subject.statement_size = call.subject.statement->size();
     call.subject.limit = std::chrono::seconds(2);
     call.subject.kind = "served";
     call.subject.duration = std::chrono::milliseconds(5);
     call.subject.attempts = 1;
-    const auto ran = run(call);
+    const auto ran = run(std::move(call));
     if (ran.how == Ran::How::yielded) {
       problem = std::string(kHandlers[phase]) + ": " + name(Failure::time);
       drop(0);
@@ -669,24 +720,26 @@
 
 void Machine::remember(Store* store) { state_->store = store; }
 
-Ran Machine::run(const Run& run) {
+Ran Machine::run(Run run) {
   auto& self = *state_;
   Ran out;
   out.job = run.job;
   out.hook = run.hook;
-  State::Call call;
+  State::Call begun, *at = &begun;
   self.now = run.now;
   if (run.first) {
-    self.start = {&run, {}};
     if (!self.spare.empty()) {
-      self.start.call = self.spare.back();
+      begun = std::move(self.spare.back());
       self.spare.pop_back();
     }
+    self.start = {&run, begun.thread, begun.ref, nullptr};
     self.peak = self.used;
     const bool fine = self.guarded(State::prepare, 0, out.text);
-    call = self.start.call;
+    begun.thread = self.start.thread;
+    begun.ref = self.start.ref;
+    begun.view = self.start.view;
     if (!fine) {
-      if (call.thread != nullptr) self.put_away(call, false);
+      if (begun.thread != nullptr) self.put_away(begun, false);
       out.how = Ran::How::failed;
       out.failure = Failure::memory;
       out.memory = self.used;
@@ -699,8 +752,9 @@
       out.failure = Failure::out;
       return out;
     }
-    call = found->second;
+    at = &found->second;
   }
+  auto& call = *at;
   self.begin_slice(call.thread, run.slice, run.now);
   int results = 0;
   const int ended = lua_resume(call.thread, self.lua, run.first ? 1 : 0, &results);
@@ -711,13 +765,16 @@
   if (ended == LUA_YIELD) {
     lua_pop(call.thread, results);
     out.how = Ran::How::yielded;
-    if (run.first) self.calls.emplace(run.job, call);
+    if (run.first) {
+      call.subject = std::move(run.subject);
+      auto& kept = self.calls.emplace(run.job, std::move(call)).first->second;
+      if (kept.view != nullptr) kept.view->subject = &kept.subject;
+    }
     return out;
   }
-  if (!run.first) self.calls.erase(run.job);
   if (ended == LUA_OK) {
-    if (run.phase == Phase::request && results > 0 && lua_checkstack(call.thread, 4) != 0) {
-      lua_settop(call.thread, lua_gettop(call.thread) - results + 1);  // the first result
+    if (run.phase == Phase::request && lua_gettop(call.thread) > 1 && lua_checkstack(call.thread, 4) != 0) {
+      lua_settop(call.thread, 2);  // the first result, above what prepare() left below
       out.text = self.read(call.thread, out.verdict);
     }
     if (!out.text.empty()) {
@@ -726,21 +783,21 @@
       out.verdict = {};
     }
     self.put_away(call, true);
-    return out;
+  } else {
+    out.how = Ran::How::failed;
+    out.failure = ended == LUA_ERRMEM ? Failure::memory : Failure::error;
+    out.text = State::message(call.thread);
+    self.put_away(call, false);
   }
-  out.how = Ran::How::failed;
-  out.failure = ended == LUA_ERRMEM ? Failure::memory : Failure::error;
-  out.text = State::message(call.thread);
-  self.put_away(call, false);
+  if (!run.first) self.calls.erase(run.job);
   return out;
 }
 
 void Machine::drop(JobId job) {
   const auto found = state_->calls.find(job);
   if (found == state_->calls.end()) return;
-  const auto call = found->second;
+  state_->put_away(found->second, false);
   state_->calls.erase(found);
-  state_->put_away(call, false);
 }
 
 std::size_t Machine::memory() const { return state_->used; }
--- a/src/hooks/machine.hpp
+++ b/src/hooks/machine.hpp
@@ -32,7 +32,7 @@
 
   void remember(Store* store);  // of use for all calls from now on
   // Goes on with the call, or begins it, for a slice.
-  [[nodiscard]] Ran run(const Run& run);
+  [[nodiscard]] Ran run(Run run);
   void drop(JobId job);
 
   [[nodiscard]] std::size_t memory() const;
--- a/src/hooks/runner.cpp
+++ b/src/hooks/runner.cpp
@@ -75,10 +75,10 @@
   for (const auto& then : done) then();
 }
 
-void Runner::run(const Run& run) {
+void Runner::run(Run& run) {
   const auto found = held_.find(run.hook);
   if (found == held_.end()) return;
-  post_(core::HookRan{found->second.machine->run(run)});
+  post_(core::HookRan{found->second.machine->run(std::move(run))});
 }
 
 void Runner::run(const Drop& drop) {
--- a/src/hooks/runner.hpp
+++ b/src/hooks/runner.hpp
@@ -30,7 +30,7 @@
   // `work` in the thread, and what it returns on the loop.
   void later(std::function<std::function<void()>()> work);
 
-  void run(const Run& run);
+  void run(Run& run);
   void run(const Drop& drop);
   void run(const Renew& renew);
   void run(const Retire& retire);
--- a/src/hooks/spec.hpp
+++ b/src/hooks/spec.hpp
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -73,8 +74,8 @@
   std::uint16_t cls = 0;
   std::uint32_t tenant = 0;
   std::uint8_t front = 0;
-  std::string statement;           // at most kMostStatement of it
-  std::size_t statement_size = 0;  // of the whole, in bytes
+  std::shared_ptr<const std::string> statement;  // at most kMostStatement of it
+  std::size_t statement_size = 0;                // of the whole, in bytes
   Time limit{};
   std::optional<Time> cpu;
   double ram = 0;  // MB
--- a/tests/hooks_test.cpp
+++ b/tests/hooks_test.cpp
@@ -411,7 +411,7 @@
     run.first = true;
     run.slice = 100us;
     run.now = 1000s;
-    run.subject.statement = statement;
+    run.subject.statement = std::make_shared<const std::string>(statement);
     run.subject.statement_size = statement.size();
     run.subject.tags = {"old"};
     auto ran = machine->run(run);
@@ -546,6 +546,21 @@
   EXPECT_EQ(ran.how, Ran::How::done) << ran.text;
 }
 
+TEST(Machine, ARequestThatIsOverCannotBeLookedAt) {
+  Scripted s(R"(function on_request(r)
+    if old then local fine, why = pcall(function() return old.class end) return {tags = {fine and "seen" or "over"}} end
+    old = r
+    r = nil
+    for i = 1, 20000 do local t = {i} end
+  end)");
+  EXPECT_EQ(s.call("SELECT 1", 1000).how, Ran::How::done);
+  EXPECT_EQ(s.call().verdict.tags, std::vector<std::string>{"over"});
+  Scripted gone("function on_request(r) r = nil for i = 1, 20000 do local t = {i} end end");
+  EXPECT_EQ(gone.call("SELECT 1", 1000).how, Ran::How::done);
+  Scripted wrong("function on_request(r) return r.tenat end");
+  EXPECT_NE(wrong.call().text.find("there is no field 'tenat'"), std::string::npos);
+}
+
 TEST(Machine, WhatCannotBeLoadedSaysWhy) {
   EXPECT_NE(Scripted("function on_request(r").problem.find("expected"), std::string::npos);
   EXPECT_NE(Scripted("x = 1").problem.find("defines no function 'on_request'"), std::string::npos);
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -406,8 +406,9 @@
 // A broker that serves, with its change log.
 class Broker {
  public:
+  // `patch`: for the settings, as RFC 7396 merges it in.
   explicit Broker(const std::vector<std::pair<std::string, std::string>>& engines, const json& fronts = {},
-                  rlim_t files = 0) {
+                  rlim_t files = 0, const json& patch = json::object()) {
     json all = json::array();
     for (const auto& [id, at] : engines) all.push_back(server(id, at));
     changes.push(std::move(all), true);
@@ -418,6 +419,7 @@
               {"changelog", changes.address()},
               {"known", changes.known()},
               {"settings", settings()}};
+    config["settings"].merge_patch(patch);
     std::vector<std::string> arguments{"serve", "--config", files_.emplace_back(temporary(config.dump()))};
     if (!fronts.is_null()) {
       arguments.emplace_back("--fronts");
