--- a/tests/net/hooks_test.cpp
+++ b/tests/net/hooks_test.cpp
@@ -211,6 +211,33 @@
   for (const auto& path : {script, file, cases, wrong}) ::unlink(path.c_str());
 }
 
+// Each fenced block of the operators' page whose first line names a file.
+TEST(HookTool, TheExamplesOfTheOperatorsPageDoWhatItSays) {
+  std::string folder = "/tmp/bellstair-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder.data()), nullptr);
+  std::ifstream page(BELLSTAIR_SOURCE "/docs/operators/hooks.md");
+  std::ofstream out;
+  std::set<std::string> files;
+  for (std::string line; std::getline(page, line);) {
+    if (line.starts_with("```")) {
+      if (out.is_open()) {
+        out.close();
+      } else {
+        files.insert(line.substr(line.find(' ') + 1));
+        out.open(folder + "/" + line.substr(line.find(' ') + 1));
+      }
+    } else if (out.is_open()) {
+      out << line << '\n';
+    }
+  }
+  ASSERT_EQ(files.size(), 6U);
+  const auto tried = bellstair("hook run " + folder + "/examples.hcl --cases " + folder + "/cases.jsonl");
+  EXPECT_EQ(tried.status, 0) << tried.out;
+  EXPECT_NE(tried.out.find("8 cases, 0 wrong"), std::string::npos) << tried.out;
+  for (const auto& file : files) ::unlink((folder + "/" + file).c_str());
+  ::rmdir(folder.c_str());
+}
+
 TEST(HookTool, MistakesOfTheFileNameTheirPlace) {
   const auto file = temporary("hook \"h\" {\n  scirpt = \"x\"\n}\n");
   const auto tried = bellstair("hook check " + file);
