Skip hooks where there are none, and guard dear instructions and a flood's way out by tests

Need: with nothing configured a request cost the core 7% more instructions (callgrind, arrival to answer), and two of eleven seeded faults went unnoticed. Change: an early way out; tests that fail without the look at the clock after large allocations and without letting a flood out of a hook that is taken out.

Measured: 40.8 M instructions for 5,000 requests before hooks, 43.9 M with them, 43.4 M now (0.1 us a request).

--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -248,6 +248,7 @@
 
 // What the hooks' decisions have come to, until there is nothing more to be done about them in this step.
 void Reducer::settle_hooks() {
+  if (hooks_.quiet() && moved_lines_.empty()) return;
   while (!hooks_.passed.empty() || !moved_lines_.empty()) {
     auto passed = std::exchange(hooks_.passed, {});
     for (auto& through : passed) let_through(through);
--- a/src/hooks/control.hpp
+++ b/src/hooks/control.hpp
@@ -70,6 +70,11 @@
   // When dispatch() can do more; none: nothing waits.
   [[nodiscard]] std::optional<Time> due(Time now) const;
 
+  // Nothing to dispatch, and nothing for the caller to take.
+  [[nodiscard]] bool quiet() const {
+    return jobs_.empty() && passed.empty() && commands.empty() && said.empty();
+  }
+
   std::vector<Command> commands;  // for the caller to take
   std::vector<Passed> passed;
   std::vector<std::string> said;  // for the log
--- a/tests/hooks_test.cpp
+++ b/tests/hooks_test.cpp
@@ -243,6 +243,7 @@
 TEST(Control, AFloodInsideARunawayHookIsLetOutWhenItIsTakenOut) {
   auto strict = spec(1);
   strict.refuse_on_failure = true;
+  strict.wait = 10s;
   Controlled c({strict, spec(2, "quick")});
   c.scripts[1] = Controlled::endless;
   for (Owner owner = 1; owner <= 1000; ++owner) c.enter(owner);
@@ -478,6 +479,19 @@
   }
 }
 
+// Where single instructions are dear, the clock is looked at before a hundred of them have passed.
+TEST(Machine, DearInstructionsAreNotCountedByTheHundred) {
+  Scripted s(
+      "function on_request(r) local s = string.rep('a', 60000) while true do local x = s .. s end end");
+  Slice run;
+  run.job = 1;
+  run.first = true;
+  run.slice = 1us;
+  const auto ran = s.machine->run(run);
+  EXPECT_EQ(ran.how, Ran::How::yielded);
+  EXPECT_EQ(ran.instructions, 0U);
+}
+
 TEST(Machine, MemoryIsBoundedWhateverAScriptDoes) {
   for (const char* body : {
            "local t = {} while true do t[#t + 1] = {} end",
