--- a/src/config/fronts.cpp
+++ b/src/config/fronts.cpp
@@ -30,15 +30,17 @@
   return out;
 }
 
-// One of the settings' names.
+// The position of one of the settings' names; what is none of them is noted.
 template <class Map>
-void check_name(Reader& in, const char* field, const std::string& value, const Map& names, const char* what) {
-  if (names.contains(value)) return;
+std::optional<typename Map::mapped_type> position(Reader& in, const char* field, const std::string& value,
+                                                  const Map& names, const char* what) {
+  if (const auto found = names.find(value); found != names.end()) return found->second;
   std::set<std::string> known;
   for (const auto& [name, index] : names) known.insert(name);
   const auto meant = hcl::nearest(value, known);
   in.wrong(field, "'" + value + "' is no " + what + " of the settings" +
                       (meant ? ": did you mean '" + *meant + "'?" : ""));
+  return std::nullopt;
 }
 
 MysqlFront parse_mysql(Reader& in, const Names& names, bool directory) {
@@ -49,7 +51,7 @@
     in.wrong("listen", "must be a loopback address beside a directory");
   const auto add = [&](Reader& user, std::string name) {
     out.users.push_back({std::move(name), secret(user, "password_env"), user.text("tenant")});
-    check_name(user, "tenant", out.users.back().tenant, names.tenants, "tenant");
+    (void)position(user, "tenant", out.users.back().tenant, names.tenants, "tenant");
     user.finish();
   };
   for (auto& user : in.blocks("user", 1)) add(user.reader, user.labels[0]);
@@ -98,14 +100,10 @@
 hooks::Match parse_match(Reader& in, const Names& names) {
   hooks::Match out;
   for (const auto& name : in.texts("class")) {
-    check_name(in, "class", name, names.classes, "class");
-    if (const auto found = names.classes.find(name); found != names.classes.end())
-      out.classes.push_back(found->second);
+    if (const auto at = position(in, "class", name, names.classes, "class")) out.classes.push_back(*at);
   }
   for (const auto& name : in.texts("tenant")) {
-    check_name(in, "tenant", name, names.tenants, "tenant");
-    if (const auto found = names.tenants.find(name); found != names.tenants.end())
-      out.tenants.push_back(found->second);
+    if (const auto at = position(in, "tenant", name, names.tenants, "tenant")) out.tenants.push_back(*at);
   }
   if (in.has("front")) out.front = static_cast<std::uint8_t>(in.choice("front", kFrontNames, 0));
   out.contains = in.text("statement_contains", "");
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -22,6 +22,15 @@
   return kEach + asked.body.size() + asked.parameters.size() + asked.nonce.size();
 }
 
+// What hooks of all phases are shown of a request.
+hooks::Subject subject_of(const Submission& asked) {
+  hooks::Subject out;
+  out.cls = asked.cls;
+  out.tenant = asked.tenant;
+  out.front = static_cast<std::uint8_t>(asked.front);
+  return out;
+}
+
 Result result_of(AttemptEnd end, bool timed_out) {
   switch (end) {
     case AttemptEnd::served:
@@ -161,10 +170,7 @@
   wheel_.arm(request.deadline - kLastCall, {Alarm::Kind::deadline, {id, 0}});
   if (hooks_.any(hooks::Phase::request) || !lines_.empty()) {
     const auto& taken = request.asked;
-    hooks::Subject subject;
-    subject.cls = taken.cls;
-    subject.tenant = taken.tenant;
-    subject.front = static_cast<std::uint8_t>(taken.front);
+    auto subject = subject_of(taken);
     subject.statement_size = taken.body.size();
     subject.limit = taken.limit;
     subject.cpu = taken.cost;
@@ -268,10 +274,7 @@
   const auto& asked = request.asked;
   const char* const what = kKinds.at(static_cast<std::size_t>(kind));
   if (hooks_.any(hooks::Phase::answer)) {
-    hooks::Subject end;
-    end.cls = asked.cls;
-    end.tenant = asked.tenant;
-    end.front = static_cast<std::uint8_t>(asked.front);
+    auto end = subject_of(asked);
     end.tags = request.tags;
     end.kind = what;
     end.duration = now_ - request.since;
--- a/src/hooks/control.cpp
+++ b/src/hooks/control.cpp
@@ -133,7 +133,7 @@
     budget_.awake(hook.spec.id, !busy_.empty());
     busy_.push_back(&hook);
   }
-  jobs_[id] = {hook.spec.id, phase, owner, std::move(subject), false, trial, false, {}, now};
+  jobs_[id] = {hook.spec.id, phase, owner, std::move(subject), false, trial, false, {}};
   hook.waiting.push_back(id);
   waits_.emplace(now + hook.spec.wait, id);
   return id;
--- a/src/hooks/control.hpp
+++ b/src/hooks/control.hpp
@@ -107,7 +107,6 @@
     bool begun = false, trial = false;
     bool over = false;  // its machine has nothing left of it
     Use use;
-    Time since{};
   };
   struct Inside {
     Chain chain;
