--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -141,6 +141,8 @@
       const auto &x = s_.classes[a], &y = s_.classes[b];
       return x.aim != y.aim ? x.aim < y.aim : x.worth > y.worth;
     });
+    for (const auto field : s_.load_fields)
+      tells_load_ = tells_load_ || field == LoadField::inflight || field == LoadField::util;
     double quota = 0;
     for (const auto& tenant : s_.tenants) quota += tenant.quota_per_s;
     arrival_rate_ = quota / s_.gateways;
@@ -757,7 +759,7 @@
   // True: a probe went out, as reports of the engine are old and there are probes to spare.
   bool probe(Engine& engine, double spare) {
     const bool old = now_ >= std::max(engine.reported, engine.probed) + kProbeAge;
-    return old && !s_.load_fields.empty() && probe_tokens_ >= 1 + spare && ask(engine);
+    return old && tells_load_ && probe_tokens_ >= 1 + spare && ask(engine);
   }
   bool ask(Engine& engine) {
     if (!s_.may_probe || probe_tokens_ < 1) return false;
@@ -1085,8 +1087,9 @@
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
   bool started_ = false, fleet_changed_ = false, readers_wait_ = false;
-  bool few_ = false;     // the pool holds few queries
-  unsigned widest_ = 1;  // threads of a query
+  bool tells_load_ = false;  // reports hold a figure that take_load() can use
+  bool few_ = false;         // the pool holds few queries
+  unsigned widest_ = 1;      // threads of a query
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
   double copy_work_ = 0;  // core-seconds that second copies may still cost
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
