--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -151,6 +151,7 @@
   std::optional<Time> work;  // of all threads, where answers tell it
   double memory_mb = 0;      // needed, where answers tell it
   std::vector<double> load;  // as Settings::load_fields
+  Time lingers{};            // it may run on at the engine for so long; in order, its key rests meanwhile
 };
 
 struct ClientLeft {
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -485,7 +485,7 @@
     if (--engine.queries == 0) busy_.erase(outcome.engine);
     if (in_order(*request) && (outcome.result == Result::timed_out || outcome.result == Result::reset ||
                                outcome.result == Result::called_off))
-      turns_.rest(request->asked.order_key, now_ + s_.order_rest);
+      turns_.rest(request->asked.order_key, now_ + std::max(s_.order_rest, outcome.lingers));
     take_load(engine, outcome.load);
     judge(engine, *request, outcome);
     if (outcome.closed && request->open) return close(*request);
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -91,6 +91,7 @@
   std::optional<Time> work;
   double memory_mb = 0;
   std::vector<double> load;
+  Time lingers{};  // nothing proves that it is over at its engine, where it may run on for so long
 };
 struct ProbeEnded {
   EngineId engine = 0;
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -362,6 +362,7 @@
     outcome.work = told->work;
     outcome.memory_mb = told->memory_mb;
     outcome.load = std::move(told->load);
+    outcome.lingers = told->lingers;
     if (result == Result::served && !request.answered)
       answer(id.request, request, AnswerKind::served, Time::zero(), std::move(told->body),
              std::move(told->shape));
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -20,6 +20,8 @@
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
+// A query that nobody asks for ends within so long of the last call, and time limits' slack (PROTOCOL).
+constexpr core::Time kOrphanLife = 2050ms;
 
 struct HttpSession : net::Session {
   HttpReader reader{kMostBody};
@@ -119,10 +121,7 @@
     if (connection == nullptr) return end(id, AttemptEnd::not_connected);
     found->second.connection = connection;
     found->second.stage = Stage::ready;
-    connection->lost = [this, id, connection](bool) {
-      attempts_.at(id).connection = nullptr;
-      pool_.discard(*connection);
-    };
+    park(id);
     post_(core::AttemptReady{id});
   });
 }
@@ -149,6 +148,7 @@
   }
   attempt.stage = Stage::posted;
   attempt.query = path_of(effect.ticket);
+  attempt.asked = now_;
   const auto id = effect.id;
   attempt.call =
       call(*attempt.connection, http_call("POST", "/v1/store", host(attempt.engine), headers, effect.body),
@@ -184,6 +184,7 @@
       return give_up(effect.id);
     case Stage::leaving:
     case Stage::deleting:
+    case Stage::recalling:
       return;
   }
 }
@@ -192,7 +193,46 @@
   auto& attempt = attempts_.at(id);
   attempt.stage = Stage::deleting;
   aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
-        [this, id](End, HttpAnswer&) { end(id, AttemptEnd::withdrawn); });
+        [this, id](End how, HttpAnswer&) { deleted(id, how); });
+}
+
+// An engine that drains takes no new connections, but still answers on the open ones.
+void Engines::deleted(AttemptId id, End how) {
+  const auto found = attempts_.find(id);
+  if (found == attempts_.end()) return;
+  auto& attempt = found->second;
+  if (how == End::answered) return end(id, AttemptEnd::withdrawn);
+  if (attempt.connection == nullptr || attempt.stage == Stage::recalling)
+    return let_go(id, AttemptEnd::withdrawn);
+  attempt.stage = Stage::recalling;
+  if (!calls_.contains(attempt.call)) recall(id);
+}
+
+void Engines::recall(AttemptId id) {
+  auto& attempt = attempts_.at(id);
+  attempt.call = call(*attempt.connection, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}),
+                      kAside, [this, id](End how, HttpAnswer& answer) {
+                        auto& connection = attempts_.at(id).connection;
+                        if (how != End::answered || !answer.keep_alive || !connection->stream.open())
+                          connection = nullptr;
+                        deleted(id, how);
+                      });
+}
+
+void Engines::park(AttemptId id) {
+  auto* connection = attempts_.at(id).connection;
+  if (connection == nullptr) return;
+  connection->lost = [this, id, connection](bool) {
+    attempts_.at(id).connection = nullptr;
+    pool_.discard(*connection);
+  };
+}
+
+// Nothing proves that the query is over.
+void Engines::let_go(AttemptId id, AttemptEnd how) {
+  auto& attempt = attempts_.at(id);
+  attempt.result.lingers = std::max(core::Time::zero(), attempt.asked + kOrphanLife - now_);
+  end(id, how);
 }
 
 void Engines::run(const core::Reprioritize& effect) {
@@ -248,8 +288,12 @@
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
   if (how != End::answered || !answer.keep_alive || !attempt.connection->stream.open())
-    attempt.connection = nullptr;                // it is gone
-  if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
+    attempt.connection = nullptr;                         // it is gone
+  if (attempt.stage == Stage::deleting) return park(id);  // the answer to that call ends it
+  if (attempt.stage == Stage::recalling) {
+    if (how == End::answered && answer.status != 202) return end(id, AttemptEnd::withdrawn);  // it has ended
+    return attempt.connection != nullptr ? recall(id) : let_go(id, AttemptEnd::withdrawn);
+  }
   if (how != End::answered) {
     if (attempt.stage == Stage::leaving) return give_up(id);
     if (posting && how == End::unsent) return end(id, AttemptEnd::expired);
@@ -314,6 +358,7 @@
   auto& attempt = attempts_.at(id);
   if (attempt.connection == nullptr) return reconnect(id);
   const auto page = attempt.stage == Stage::paging ? attempt.next_page : 0;
+  attempt.asked = now_;
   attempt.call =
       call(*attempt.connection,
            http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}),
@@ -323,7 +368,7 @@
 // News and pages may be asked for again: asking does nothing to the query.
 void Engines::reconnect(AttemptId id) {
   auto& attempt = attempts_.at(id);
-  if (++attempt.reconnects > kReconnects) return end(id, AttemptEnd::reset);
+  if (++attempt.reconnects > kReconnects) return let_go(id, AttemptEnd::reset);
   pool_.acquire(attempt.engine, [this, id](Connection* connection) {
     const auto found = attempts_.find(id);
     const bool wanted = found != attempts_.end() &&
@@ -332,7 +377,7 @@
       if (connection != nullptr) pool_.release(*connection);
       return;
     }
-    if (connection == nullptr) return end(id, AttemptEnd::reset);
+    if (connection == nullptr) return let_go(id, AttemptEnd::reset);
     found->second.connection = connection;
     ask(id);
   });
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -33,8 +33,9 @@
 
  private:
   using Connection = net::Pool::Connection;
-  // leaving: given up before the engine's first word; deleting: the engine is being told.
-  enum class Stage { waiting, ready, posted, polling, paging, leaving, deleting };
+  // leaving: given up before the engine's first word; deleting: the engine is being told, on a connection
+  // beside the attempt's; recalling: that failed, so on the attempt's own, once the call on it is through.
+  enum class Stage { waiting, ready, posted, polling, paging, leaving, deleting, recalling };
   enum class End { answered, not_connected, unsent, broken, silent };
   using Done = std::function<void(End, HttpAnswer&)>;
 
@@ -45,6 +46,7 @@
     Connection* connection = nullptr;  // its own, from POST to the last page
     std::uint64_t call = 0;            // the one that starts it
     std::string query;                 // its path at the engine
+    core::Time asked{};                // when a call that keeps the query alive was made last
     std::size_t next_page = 0, pages = 0;
     int reconnects = 0;                // in a row, without a good answer in between
     bool doubtful = false;             // nothing has proved yet that the statement has come
@@ -68,6 +70,10 @@
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
   void end(core::AttemptId id, core::AttemptEnd how);
   void give_up(core::AttemptId id);  // tells the engine
+  void deleted(core::AttemptId id, End how);
+  void recall(core::AttemptId id);                        // tells it on the attempt's own connection
+  void let_go(core::AttemptId id, core::AttemptEnd how);  // without proof that the query is over
+  void park(core::AttemptId id);                          // its connection, without a call for a while
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -87,7 +87,7 @@
     std::erase(turn->second, id);
     if (turn->second.empty()) turns_.erase(turn);
   }
-  void rest(std::uint64_t key, Time until) { rests_[key] = until; }
+  void rest(std::uint64_t key, Time until) { rests_[key] = std::max(rests_[key], until); }
   [[nodiscard]] bool first(std::uint64_t key, RequestId id) const { return turns_.at(key).front() == id; }
   [[nodiscard]] bool rests(std::uint64_t key, Time now) const {
     const auto rest = rests_.find(key);
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -114,6 +114,46 @@
   EXPECT_EQ(engine.calls.count(gone), 1U);
 }
 
+// A load was sent while an earlier one of its key still ran at an engine that drained: it took no connection
+// for the DELETE, which counted as done.
+TEST(Engines, AQueryAtAnEngineThatTakesNoConnectionsIsDeletedOnItsOwn) {
+  std::promise<void> polled;
+  std::atomic<bool> first = true;
+  HttpEngine engine([&, wait = polled.get_future().share()](const Call& call) {
+    if (poll(call) && first.exchange(false)) wait.wait();
+    return http(gone(call) ? 204 : 202);
+  });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  engine.server.drain();
+  d.run(core::Abandon{d.id});
+  for (int i = 0; i < 20; ++i) d.turn();  // the DELETE beside the call is refused
+  EXPECT_TRUE(std::ranges::none_of(d.events, [](const auto& e) {
+    return std::holds_alternative<core::AttemptEnded>(e);
+  })) << "it still runs there";
+  polled.set_value();
+  const auto ended = d.wait<core::AttemptEnded>();
+  EXPECT_EQ(ended.end, AttemptEnd::withdrawn);
+  EXPECT_EQ(ended.lingers, core::Time::zero());
+  EXPECT_EQ(engine.calls.count(gone), 1U);
+}
+
+TEST(Engines, WhatCouldNotBeDeletedIsSaidToLingerForAsLongAsAnEngineKeepsIt) {
+  HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
+    if (gone(call)) return std::nullopt;  // cut off
+    return http(202);
+  });
+  Driven d(engine);
+  d.start();
+  d.until(engine, poll);
+  d.run(core::Abandon{d.id});
+  const auto ended = d.wait<core::AttemptEnded>();
+  EXPECT_EQ(ended.end, AttemptEnd::withdrawn);
+  EXPECT_GT(ended.lingers, 1s);
+  EXPECT_LE(ended.lingers, 2050ms);
+}
+
 TEST(Engines, NewsAreAskedForAgainWhenAConnectionBreaksAndTheStatementIsNotSentTwice) {
   std::atomic<int> polls = 0;
   HttpEngine engine([&](const Call& call) -> std::optional<std::string> {
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -106,18 +106,22 @@
     acceptor_ = std::thread([this] { accept(); });
   }
   ~Server() { stop(); }
-  // Closes everything, so that later connections are refused.
-  void stop() {
+  // Refuses later connections; the open ones go on.
+  void drain() {
     if (!acceptor_.joinable()) return;
     stopped_ = true;
     ::shutdown(fd_.get(), SHUT_RDWR);
     acceptor_.join();
     fd_.reset();
+  }
+  // Closes everything.
+  void stop() {
+    drain();
     {
       const std::lock_guard lock(mutex_);
       for (const int fd : open_) ::shutdown(fd, SHUT_RDWR);
     }
-    for (auto& thread : threads_) thread.join();
+    for (auto& thread : std::exchange(threads_, {})) thread.join();
   }
   [[nodiscard]] const std::string& address() const { return address_; }
 
