--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -232,7 +232,8 @@
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& out);
 
   [[nodiscard]] ClassView view(ClassIndex cls) const;
-  [[nodiscard]] double pool() const;  // threads
+  [[nodiscard]] double pool() const;   // threads
+  [[nodiscard]] double level() const;  // threads a core over the fleet, as far as known; below 0: not known
 
  private:
   class Choice;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -72,10 +72,12 @@
 constexpr double kOwnTimes = 6;     // gateways whose share one's own threads speak for, at most
 constexpr Time kTellPace = 200ms;   // between messages to the other gateways
 constexpr unsigned kTellAll = 10;   // gateways up to which each tells all others; above, reports go to a few
-constexpr double kTellBytes = 150;  // of these reports, a query
-constexpr double kLeastRate = 0.2;  // queries a second that a gateway is taken to have, at the least
+constexpr std::size_t kTellPaces = 3;  // newest paces told, where reports of load tell nothing
+constexpr double kTellBytes = 250;     // of these reports, a query;
+constexpr double kTellHead = 28;       // and of each one's IP and UDP heads
+constexpr double kLeastRate = 0.2;     // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
-constexpr double kPeerStep = 0.1;      // weight of one message: a level must follow a restart within seconds
+constexpr double kPeerMemory = 1.5;    // s in which one loses weight: a level must follow a restart
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
 constexpr double kScatter =
     1.5;  // variance of the queries told of an engine, over their mean, if all is well
@@ -172,6 +174,10 @@
   }
 
   [[nodiscard]] double pool() const { return pool_; }
+  // Of the fleet, threads a core; below 0: nothing has told yet.
+  [[nodiscard]] double level() const {
+    return now_ > level_at_ + kLevelLife ? -1 : level_ < 0 ? told_level_ : level_;
+  }
 
  private:
   void start() {
@@ -420,7 +426,9 @@
 
   double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
+    cores_ = 0;
     for (auto* engine : ready_) {
+      cores_ += cores(*engine) * warmth(*engine, 0s);  // what crowds a warm fleet overruns a cold one
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
       const double share = kTurnPart * s_.tip_multiple * warmth(*engine, s_.tip_window) * kFullCapacity *
                            cores(*engine) / s_.gateways;  // core-seconds a second
@@ -572,7 +580,14 @@
     const double measure = took / (outcome.work ? std::max(0.02, work / threads) : cls.base);
     learn_base(cls, took);
     fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
-    engine.pace += kPaceStep * (std::clamp(measure, 0.2, 8.0) - engine.pace);
+    learn_pace(engine, engine.measure = std::clamp(measure, 0.2, 8.0));
+    if (tells_load_) return;
+    engine.reported = now_;
+    list_recent(engine);
+  }
+
+  void learn_pace(Engine& engine, double measure) {
+    engine.pace += kPaceStep * (measure - engine.pace);
     const bool slow = slowness(engine) > 1;
     fleet_changed_ = fleet_changed_ || slow != engine.slow;
     engine.slow = slow;
@@ -691,7 +706,11 @@
   void take_report(Engine& engine, double threads, Time at) {
     engine.reported = at;
     engine.others = std::max(0.0, threads - engine.threads);
-    recent_.push_front({at, &engine});
+    list_recent(engine);
+  }
+
+  void list_recent(Engine& engine) {
+    recent_.push_front({engine.reported, &engine});
     if (recent_.size() > kLooks) recent_.pop_back();
   }
 
@@ -714,19 +733,24 @@
       for (const auto& entry : text->entries) peers_[message.from].second[entry.engine] = entry.value;
       return;
     }
-    // Busy gateways tell more often: each message weighs as the time between two of its sender's queries.
+    // Busy gateways tell more often: each message weighs as the time that it speaks for.
     const double gap = 1 / std::max(kLeastRate, text->rate / 16.0);
-    const double step = std::max(kPeerStep, 1.0 / ++peers_heard_);
-    peer_gap_ += step * (gap - peer_gap_);
-    peer_threads_ += step * (gap * text->threads - peer_threads_);
+    const double kept = std::exp(-secs(now_ - std::exchange(peer_at_, now_)) / kPeerMemory);
+    peer_gap_ = kept * peer_gap_ + gap;
+    peer_threads_ = kept * peer_threads_ + gap * text->threads;
     level_at_ = now_;
-    if (peers_heard_ >= kPeersNeeded)
+    if (++peers_heard_ >= kPeersNeeded)
       level_ = peer_threads_ / peer_gap_ * s_.gateways / std::max(1.0, cores_);
     for (const auto& entry : text->entries) {
       const auto at = engines_.find(entry.engine);
       const Time told = now_ - entry.age * kTick;
-      if (at == engines_.end() || !at->second.ready || told <= at->second.reported) continue;
+      const bool old = at != engines_.end() && tells_load_ && told <= at->second.reported;
+      if (at == engines_.end() || !at->second.ready || old) continue;
       alive(at->second, told);
+      if (!tells_load_) {
+        learn_pace(at->second, entry.value / 32.0);
+        continue;
+      }
       take_told(at->second, entry.value / 32.0 * cores(at->second), told);
     }
   }
@@ -740,16 +764,22 @@
       for (const auto id : busy_) text.entries.push_back({id, engines_.at(id).threads});
       return put(Tell{std::nullopt, encode(text)});
     }
-    text.threads = static_cast<unsigned>(running());
-    text.rate = static_cast<unsigned>(arrival_rate_ * 16);
+    // Messages follow arrivals: what runs just then is more than usual, so its mean since the last ones is
+    // told.
+    text.threads = static_cast<unsigned>(untold_ / std::max(1e-3, untold_time_) + drawn());
     for (const auto& [at, engine] : recent_) {
       const auto age = static_cast<unsigned>((now_ - at) / kTick);
-      const double value = (engine->others + engine->threads) / cores(*engine) * 32;
-      if (age < 255 && engine->reported == at)
+      const double told = tells_load_ ? (engine->others + engine->threads) / cores(*engine) : engine->measure;
+      const double value = told * 32;
+      if (text.entries.size() < (tells_load_ ? kLooks : kTellPaces) && age < 255 && engine->reported == at)
         text.entries.push_back({engine->entry.engine, static_cast<unsigned>(value), age});
     }
+    // Each message speaks for a part of the time since the last ones: in busy times they come close together.
+    const auto size = kTellHead + static_cast<double>(encode(text).size());
+    const double count = std::floor(tell_bytes_ / size);
+    text.rate = static_cast<unsigned>(16 * count * size / kTellBytes / std::max(1e-3, untold_time_));
     const auto bytes = encode(text);
-    const auto size = static_cast<double>(bytes.size());
+    if (count > 0) untold_ = untold_time_ = 0;
     for (; tell_bytes_ >= size; tell_bytes_ -= size) {
       const auto to = static_cast<std::uint32_t>(random_() % (s_.gateways - 1));
       put(Tell{to < s_.me ? to : to + 1, bytes});
@@ -780,8 +810,6 @@
   }
 
   bool crowded() const { return level() < 0 ? fleet_pace_ > kJamPace : level() > kPassCrowd * ease_; }
-  // Of the fleet, threads a core; below 0: nothing has told yet.
-  double level() const { return now_ > level_at_ + kLevelLife ? -1 : level_ < 0 ? told_level_ : level_; }
 
   // Threads of all gateways on an engine, as something fresh tells; an engine that nothing fresh tells of is
   // taken to be like the others, never as empty: all gateways would run to the engines they know least of.
@@ -796,7 +824,7 @@
     }
     if (told) return others + engine.threads;
     const double level = this->level();
-    const bool fresh = engine.reported > Time::zero() && now_ <= engine.reported + kFresh;
+    const bool fresh = tells_load_ && engine.reported > Time::zero() && now_ <= engine.reported + kFresh;
     const double weight = std::exp(-secs(now_ - engine.reported) / kReportLife);
     if (level < 0) return fresh ? std::optional(weight * engine.others + engine.threads) : std::nullopt;
     // A cold engine is filled by turns, under the fleet's level.
@@ -920,7 +948,8 @@
       if (!healthy(request, *engine) || !room(*engine, request.asked.cls) || !may_send(request, *engine) ||
           std::ranges::any_of(request.attempts, there))
         continue;
-      const double score = crowding(request, *engine) + (kLeastBlur + kBlur * (1 - trust())) * drawn();
+      const double blur = tells_load_ ? kLeastBlur + kBlur * (1 - trust()) : kLeastBlur;
+      const double score = crowding(request, *engine) + blur * drawn();
       if (best == nullptr || score < least) std::tie(best, least) = std::tuple(engine, score);
     }
     return best;
@@ -1004,6 +1033,8 @@
       put(Observe{true});
     }
     fill_tokens(passed);
+    untold_ += running() * passed;
+    untold_time_ += passed;
     own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
@@ -1044,7 +1075,10 @@
   }
 
   double share_rate(std::size_t t) const {
-    return (crowded() ? 1 : kOverShareSlack) * s_.tenants[t].share * arrival_rate_;
+    const auto& tenant = s_.tenants[t];
+    if (few_)
+      return kOverShareSlack * std::max(tenant.share * arrival_rate_, tenant.quota_per_s / s_.gateways);
+    return (crowded() ? 1 : kOverShareSlack) * tenant.share * arrival_rate_;
   }
 
   // A flood must not raise the share it is measured against: the rate grows slowly, and not in a crowd.
@@ -1094,13 +1128,14 @@
   double copy_work_ = 0;  // core-seconds that second copies may still cost
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
   double peer_gap_ = 0, peer_threads_ = 0;
+  double untold_ = 0, untold_time_ = 0;  // thread-seconds run since the last message, and s
   unsigned peers_heard_ = 0;
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
   double own_threads_ = 0;               // that run here, of late
   double scatter_ = 1;                   // of reports, see kScatter
   double fleet_errors_ = 0;              // share of all engines' outcomes of late
-  Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{};
+  Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{}, peer_at_{};
   std::vector<Action>* out_ = nullptr;
 };
 
@@ -1114,4 +1149,5 @@
 }
 ClassView Gateway::view(ClassIndex cls) const { return choice_->view(cls); }
 double Gateway::pool() const { return choice_->pool(); }
+double Gateway::level() const { return choice_->level(); }
 }  // namespace heronwell
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -51,7 +51,8 @@
   Health health = Health::well;
   Time rest_until{}, rest{};  // rest: the last one's length; 0: none since it was well
   double errors = 0;          // share of late
-  double pace = 1;            // answer time against the class's usual one
+  double pace = 1;            // answer time against the class's usual one, of late;
+  double measure = 1;         // and of the last answer here
   bool slow = false;          // far slower than the others
   Time heard{};
   Time cold_since{};            // 0: warm
@@ -114,8 +115,9 @@
 
 // What gateways tell each other, numbers with their low byte first: 'o', then for each engine its id (4
 // bytes) and own threads there (1); or 'r', own threads in all and queries a second in 16ths (2 each), then
-// for each report the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1). Text of
-// other lengths is no message at all.
+// for each report the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1); where
+// the settings' reports tell no load, the pace of the sender's last answer there instead. Text of other
+// lengths is no message at all.
 struct PeerEntry {
   EngineId engine = 0;
   unsigned value = 0, age = 0;
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -493,7 +493,7 @@
 }
 
 // A quarter of the fleet restarted: what ran there was gone, yet the level stayed high and all was refused.
-TEST(ManyGateways, TheLevelByMessagesFollowsWithinTwentyMessages) {
+TEST(ManyGateways, TheLevelByMessagesFollowsWithinSeconds) {
   Settings s = plain_settings();
   s.gateways = 40;
   s.may_tell = true;
@@ -522,7 +522,7 @@
     PeerMessage m;
     m.from = 1;
     m.bytes = bytes;
-    d.at(d.now, {m});
+    d.at(d.now + 100ms, {m});
   };
   for (int i = 0; i < 30; ++i) tell(busy);
   d.ask(1, 0);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,7 +1,9 @@
 // A whole fleet of gateways in one process: what is harmless from one of them must be harmless from all.
 #include <gtest/gtest.h>
 
+#include <cmath>
 #include <memory>
+#include <random>
 
 #include "bench.hpp"
 
@@ -83,5 +85,122 @@
   EXPECT_EQ(sends, 6U * kGateways) << "each at once";
 }
 
+// Runs a fleet whose queries each take their engine's time, with the gateways' messages passed between them.
+struct Load {
+  explicit Load(Fleet& the_fleet) : fleet(the_fleet) {}
+  // Each gateway gets a query in a step of 20 ms with its own chance; queries last as told.
+  void step(const std::vector<double>& chance, Time lasts) {
+    std::vector<std::vector<Event>> mail(fleet.all.size());
+    now += 20ms;
+    for (std::size_t i = 0; i < fleet.all.size(); ++i) {
+      auto events = std::exchange(due[i][now], {});
+      due[i].erase(now);
+      events.emplace_back(Wake{});
+      if (std::generate_canonical<double, 32>(random) < chance[i]) {
+        Arrival a;
+        a.request = ++last;
+        a.time_left = 8s;
+        a.cls = cls;
+        a.tenant = std::generate_canonical<double, 32>(random) < 0.59 ? 0 : 1;
+        events.emplace_back(a);
+        ++queries;
+      }
+      running[i] -= static_cast<int>(
+          std::ranges::count_if(events, [](const Event& e) { return std::holds_alternative<Outcome>(e); }));
+      for (const auto& action : fleet.all[i]->at(now, std::move(events))) {
+        if (const auto* tell = std::get_if<Tell>(&action)) {
+          ++datagrams;
+          mail[*tell->to].emplace_back(PeerMessage{static_cast<std::uint32_t>(i), tell->bytes});
+        }
+        if (const auto* send = std::get_if<Send>(&action)) {
+          Outcome o;
+          o.request = send->request;
+          o.engine = send->engine;
+          o.latency = send->engine == slow_engine ? 5 * lasts : lasts;
+          o.work = 4 * lasts;  // as for four threads, at every engine
+          o.closed = true;
+          due[i][now + o.latency].emplace_back(o);
+          ++running[i];
+          ++sends[send->engine];
+        }
+        refused += std::holds_alternative<Refuse>(action) ? 1 : 0;
+      }
+    }
+    for (std::size_t i = 0; i < mail.size(); ++i) fleet.all[i]->at(now, std::move(mail[i]));
+  }
+  Fleet& fleet;
+  Time now{200s};
+  RequestId last = 0;
+  std::mt19937_64 random{7};
+  ClassIndex cls = 1;
+  EngineId slow_engine = 0;
+  std::map<EngineId, std::size_t> sends;
+  std::map<std::size_t, std::map<Time, std::vector<Event>>> due;
+  std::map<std::size_t, int> running;
+  std::size_t queries = 0, datagrams = 0, refused = 0;
+};
+
+// Messages that held five bytes went out by the thirty a query, at 165 a second from each broker and to each,
+// and the level that ten of them told lay anywhere from a sixth to three times the true one.
+TEST(Fleet, DatagramsStayFewAndTellTheLevelThatTheGatewaysTogetherBring) {
+  Settings s = fleet_settings();
+  Fleet fleet(s);
+  Load load(fleet);
+  std::vector<double> chance;
+  for (unsigned i = 0; i < kGateways; ++i) chance.push_back(i % 10 == 0 ? 0.2 : 0.04);  // some are busier
+  // 5.6 queries a gateway in two seconds, each of 4 threads for 200 ms: 0.9 threads a core.
+  for (int n = 0; n < 400; ++n) load.step(chance, 200ms);
+  EXPECT_LT(static_cast<double>(load.datagrams), 8.0 * static_cast<double>(load.queries));
+  double sum = 0, squares = 0, truth = 0;
+  for (int n = 0; n < 100; ++n) {
+    load.step(chance, 200ms);
+    for (unsigned i = 0; i < kGateways; ++i) {
+      truth += 4.0 * load.running[i] / (8.0 * kEngines);
+      const double told = fleet.all[i]->gateway.level();
+      sum += told;
+      squares += told * told;
+    }
+  }
+  const double mean = sum / 100 / kGateways, sd = std::sqrt(squares / 100 / kGateways - mean * mean);
+  EXPECT_NEAR(mean, truth / 100, 0.15 * mean);
+  EXPECT_LT(sd, 0.25 * mean) << "one gateway's belief against another's";
+}
+
+// A broker asks each of thirty engines once in five seconds: by its own answers alone it learns of a slow one
+// when that has long been overrun by all. What others have measured is told beside the level.
+TEST(Fleet, ASlowEngineIsKnownToAllWithinSeconds) {
+  Settings s = fleet_settings();
+  s.second_copies = false;
+  s.load_fields = {LoadField::queue, LoadField::disk_share, LoadField::memory_share};
+  Fleet fleet(s);
+  Load load(fleet);
+  load.slow_engine = 5;
+  const std::vector<double> chance(kGateways, 0.08);
+  for (int n = 0; n < 250; ++n) load.step(chance, 200ms);
+  load.sends.clear();
+  load.queries = 0;
+  for (int n = 0; n < 250; ++n) load.step(chance, 200ms);
+  const double even = static_cast<double>(load.queries) / kEngines;
+  EXPECT_LT(static_cast<double>(load.sends[5]), 0.3 * even);
+  EXPECT_GT(load.sends[5], 0U) << "else nobody would see it recover";
+}
+
+// A gateway of a large fleet sees a few queries a second, in clumps: a share of that, refilled as fast as it
+// is used, ran out again and again, and half of all refusals fell on tenants inside their share.
+TEST(Fleet, TenantsInsideTheirShareAreNotRefusedForClumps) {
+  Settings s = fleet_settings();
+  s.tenants = {{"a", 0.59, 300}, {"b", 0.41, 210}};
+  s.over_share_worth = 0.1;
+  s.second_copies = false;
+  Fleet fleet(s);
+  Load load(fleet);
+  // 5 queries a second at each, of 5.1 in all shares; 1.67 threads a core, so that the fleet counts as
+  // crowded.
+  load.cls = 0;
+  const std::vector<double> chance(kGateways, 0.1);
+  for (int n = 0; n < 600; ++n) load.step(chance, 800ms);
+  EXPECT_LT(static_cast<double>(load.refused), 0.02 * static_cast<double>(load.queries));
+}
+
 }  // namespace
 }  // namespace heronwell::test
