--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -79,8 +79,7 @@
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
 constexpr double kPeerMemory = 1.5;    // s in which one loses weight: a level must follow a restart
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
-constexpr double kScatter =
-    1.5;  // variance of the queries told of an engine, over their mean, if all is well
+constexpr double kScatter = 1.5;  // variance of the queries told of an engine over their mean, if all is well
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
 constexpr double kLeastBlur = 0.01;     // threads a core that an engine may seem fuller by; and at most,
 constexpr double kBlur = 4.0;           // where reports mislead
@@ -104,8 +103,7 @@
 constexpr double kMedianStep = 0.1;   // of the typical answer time that one answer moves it by
 constexpr double kLeastSize = 0.2, kMostSize = 40;  // of a query by its estimate, in its class's usual ones
 
-constexpr double kSizeCrowd = 1.5;    // threads a core; the largest size taken is this over the level, to
-constexpr double kSizePower = 3;      // this power
+constexpr double kSizeCrowd = 1.5, kSizePower = 3;  // largest size taken: (first / threads a core) ^ second
 constexpr double kPaceAsLevel = 0.9;  // threads a core that the usual pace stands for, if none are told
 
 // Second copies, where they are allowed.
@@ -412,13 +410,12 @@
     if (!s_.retry_budget) return true;
     const auto& budget = *s_.retry_budget;
     forget_old();
-    return static_cast<double>(further_.size() + 1) <=
-           std::floor(budget.free + budget.ratio * static_cast<double>(taken_.size()));
+    const double most = budget.free + budget.ratio * static_cast<double>(taken_.size());
+    return static_cast<double>(further_.size() + 1) <= most;
   }
 
   // An even share of what tips a cold engine over may hold no query, so gateways have turns at moments drawn
-  // from their seeds, all together under a part of the whole; one not used is lost, so that none are saved
-  // up.
+  // from their seeds, all together under a part of the whole; none are saved up.
   bool cold_room(const Request& request, const Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
     return now_ < engine.turn_until && cold_work(request) <= engine.turn_left;
@@ -764,8 +761,7 @@
       for (const auto id : busy_) text.entries.push_back({id, engines_.at(id).threads});
       return put(Tell{std::nullopt, encode(text)});
     }
-    // Messages follow arrivals: what runs just then is more than usual, so its mean since the last ones is
-    // told.
+    // Messages follow arrivals, when more runs than usual: the mean since the last ones is told.
     text.threads = static_cast<unsigned>(untold_ / std::max(1e-3, untold_time_) + drawn());
     for (const auto& [at, engine] : recent_) {
       const auto age = static_cast<unsigned>((now_ - at) / kTick);
@@ -836,11 +832,10 @@
     return std::max<double>(engine.threads, swing() * usual + trust() * weight * apart);
   }
 
-  // Of what a report differs from the fleet's level, the part to believe. Where many gateways go by reports
-  // that are old when they come, all fill the engines that were empty, and keep off those that were full: the
-  // reports then lie further apart than chance would have them. Engines that really differ (slow, jammed)
-  // look the same; they are still told apart by a quarter. So are they where utilisation is all that is told:
-  // it ends at "all busy", and falls when disks jam.
+  // Of what a report differs from the fleet's level, the part to believe. Where many gateways go by old
+  // reports, all fill engines that were empty and keep off those that were full: reports then lie further
+  // apart than chance would have them. Engines that really differ (slow, jammed) look the same; they are
+  // still told apart by a quarter. So are they where utilisation is all that is told: it ends at "all busy".
   double trust() const {
     if (level_ >= 0) return kApart;
     return few_ ? std::clamp(kScatter / scatter_, kApart, 1.0) : 1;
@@ -914,8 +909,7 @@
   }
   bool home(std::int64_t group, Engine& engine) { return std::ranges::count(homes(group), &engine) > 0; }
 
-  // All of a small fleet; of a large one those of the newest reports and a few drawn, at a cost that does not
-  // grow with the fleet.
+  // All of a small fleet; of a large one those of the newest reports and a few drawn, at a bounded cost.
   const std::vector<Engine*>& candidates(const Request& request) {
     if (readers_wait_ && set(request).holds_group) return homes(request.asked.data_group);
     if (ready_.size() <= kLooks) return ready_;
@@ -1075,10 +1069,9 @@
   }
 
   double share_rate(std::size_t t) const {
-    const auto& tenant = s_.tenants[t];
-    if (few_)
-      return kOverShareSlack * std::max(tenant.share * arrival_rate_, tenant.quota_per_s / s_.gateways);
-    return (crowded() ? 1 : kOverShareSlack) * tenant.share * arrival_rate_;
+    const double own = s_.tenants[t].share * arrival_rate_;  // of few queries the clumps would pass for more
+    if (few_) return kOverShareSlack * std::max(own, s_.tenants[t].quota_per_s / s_.gateways);
+    return (crowded() ? 1 : kOverShareSlack) * own;
   }
 
   // A flood must not raise the share it is measured against: the rate grows slowly, and not in a crowd.
@@ -1086,8 +1079,8 @@
     const double rate = fresh_arrivals_ / passed;
     rate_age_ = std::min(rate_age_ + passed, kRateMemory);
     const double most = crowded() ? arrival_rate_ : kRateGrowth * arrival_rate_ + 1 / passed;
-    arrival_rate_ +=
-        passed / rate_age_ * ((3 * passed < rate_age_ ? std::min(rate, most) : rate) - arrival_rate_);
+    const double heeded = 3 * passed < rate_age_ ? std::min(rate, most) : rate;
+    arrival_rate_ += passed / rate_age_ * (heeded - arrival_rate_);
     fresh_arrivals_ = 0;
   }
 
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -6,7 +6,9 @@
 namespace bellstair::platform {
 namespace {
 using namespace std::chrono_literals;
-constexpr core::Time kRetry = 100ms;  // after a call that failed
+// After calls that failed, the spans of the waits. What a broken call would have told counts as told 2 s
+// later (PROTOCOL, "Figures"): the longest wait and a dial lie well below that.
+constexpr core::Time kRetryLeast = 100ms, kRetryMost = 800ms;
 constexpr core::Time kDial = 250ms;
 constexpr unsigned kFailuresToServe = 5;
 // The change log holds a call for so long. A log that has stopped, its connections open, shows only by an
@@ -18,13 +20,14 @@
 }  // namespace
 
 ChangeLog::ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
-                     Post post)
+                     std::uint64_t seed, Post post)
     : loop_(loop),
       address_(std::move(address)),
       names_(names),
       since_(since),
       post_(std::move(post)),
       reader_(kMostAnswer),
+      backoff_(kRetryLeast, kRetryMost, seed),
       waiting_(true) {}
 
 void ChangeLog::tick(core::Time now) {
@@ -88,6 +91,7 @@
     }
     since_ = std::max(since_, news.seq);
     first_ = nonsense_ = false;
+    backoff_.succeeded();
   } catch (const config::Invalid& error) {
     if (!std::exchange(nonsense_, true)) std::fprintf(stderr, "bellstair: change log: %s\n", error.what());
     return lost();
@@ -107,7 +111,7 @@
     old_ = std::move(stream_);  // one of its handlers may be running
   }
   waiting_ = true;
-  next_try_ = now_ + kRetry;
+  next_try_ = now_ + backoff_.after_failure();
   // A broker that has just started serves on what it was told until the change log can be asked.
   if (first_ && ++failures_ == kFailuresToServe) post_(core::FleetQuiet{});
 }
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -9,6 +9,7 @@
 
 #include "config/config.hpp"
 #include "core/events.hpp"
+#include "net/backoff.hpp"
 #include "net/stream.hpp"
 #include "platform/http.hpp"
 
@@ -18,7 +19,7 @@
  public:
   using Post = std::function<void(core::Event)>;
   ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
-            Post post);
+            std::uint64_t seed, Post post);
   void tick(core::Time now);
   // Moves to another address at once, from the last whole event on.
   void follow(const std::string& address);
@@ -36,6 +37,7 @@
   Post post_;
   std::unique_ptr<net::Stream> stream_, old_;
   HttpReader reader_;
+  net::Backoff backoff_;
   bool first_ = true;      // the first call asks without waiting
   bool nonsense_ = false;  // came last; said once
   bool waiting_ = false;   // for the next try
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -4,6 +4,7 @@
 #include "mysql/mapping.hpp"
 #include "mysql/packet.hpp"
 #include "mysql/result.hpp"
+#include "net/backoff.hpp"
 #include "platform/base64.hpp"
 #include "platform/http.hpp"
 #include "sql/statement.hpp"
@@ -185,5 +186,29 @@
     EXPECT_THROW(static_cast<void>(map(bad)), mysql::Refusal) << bad;
 }
 
+// A change log that refused a hundred brokers was asked by all of them in the same moment, ten times a second
+// each.
+TEST(Backoff, AHundredBrokersComeBackSeldomAndNotInStep) {
+  using namespace std::chrono_literals;
+  std::map<std::int64_t, int> tries;  // by 50 ms, of all
+  int late = 0;
+  for (std::uint64_t seed = 0; seed < 100; ++seed) {
+    net::Backoff backoff(100ms, 800ms, seed);
+    core::Time now{}, last{};
+    while (now < 5s) {
+      now += backoff.after_failure();
+      EXPECT_LE(now - last, 800ms);
+      last = now;
+      ++tries[now / 50ms];
+      late += now > 2s ? 1 : 0;
+    }
+    backoff.succeeded();
+    EXPECT_LE(backoff.after_failure(), 100ms);
+  }
+  EXPECT_LT(late, 700) << "some two a second from each";
+  for (const auto& [at, count] : tries)
+    EXPECT_LT(count, at < 2 ? 101 : at < 12 ? 60 : 30) << at * 50 << " ms";
+}
+
 }  // namespace
 }  // namespace bellstair
