Check a connection's fitness once, sum the fleet's cores once, clamp a pace once

Read again, without a change meant in behaviour: - Engines: whether a connection can serve another call was worked out in finish() and again in aside(), answered(), recall() and end(); finish() hands the connection on where it is fit. The DELETE was worded twice: deletion(). - Choice: refresh() and draw_turns() summed cores by different rules, so that for up to a tick after a change of the list or of an engine's health cold engines counted whole; both call sum_cores() now. An answer's pace was clamped twice, the blur was made for each engine compared instead of once, and peers' text was encoded a second time where no message was due. Two paths for told figures joined where they part only in what takes them. - The comment on peers' messages still told of the queries' rate; Backoff named the wrong variant of jitter.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -210,7 +210,7 @@
     fleet_changed_ = false;
     ready_.clear();
     homes_.clear();
-    pool_ = cores_ = 0;
+    pool_ = 0;
     const auto gone = [](const Engine* engine) { return !engine->ready && engine->out.empty(); };
     std::erase_if(recent_, [&](const auto& report) { return gone(report.second); });
     std::erase_if(invited_, gone);
@@ -218,10 +218,16 @@
     for (auto& [id, engine] : engines_) {
       if (!engine.ready) continue;
       ready_.push_back(&engine);
-      cores_ += cores(engine);
       if (!rested(engine)) pool_ += kThreadsPerCore * cores(engine) / s_.gateways;
     }
     few_ = pool_ < kFewQueries * widest_;
+    sum_cores();
+  }
+
+  // What crowds a warm fleet overruns a cold one: engines count for what they can do now.
+  void sum_cores() {
+    cores_ = 0;
+    for (const auto* engine : ready_) cores_ += cores(*engine) * warmth(*engine, 0s);
   }
 
   void begin_cold(Engine& engine, Time since) {
@@ -423,9 +429,8 @@
 
   double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
-    cores_ = 0;
+    sum_cores();
     for (auto* engine : ready_) {
-      cores_ += cores(*engine) * warmth(*engine, 0s);  // what crowds a warm fleet overruns a cold one
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
       const double share = kTurnPart * s_.tip_multiple * warmth(*engine, s_.tip_window) * kFullCapacity *
                            cores(*engine) / s_.gateways;  // core-seconds a second
@@ -574,10 +579,10 @@
     const double work = outcome.work ? secs(*outcome.work) : took * threads;
     cls.work += 0.05 * (work / request.size - cls.work);  // of all asked, though large ones go unserved
     // Where the work is told, an answer's own length is taken out of its pace.
-    const double measure = took / (outcome.work ? std::max(0.02, work / threads) : cls.base);
+    engine.measure = std::clamp(took / (outcome.work ? std::max(0.02, work / threads) : cls.base), 0.2, 8.0);
     learn_base(cls, took);
-    fleet_pace_ += kFleetStep * (std::clamp(measure, 0.2, 8.0) - fleet_pace_);
-    learn_pace(engine, engine.measure = std::clamp(measure, 0.2, 8.0));
+    fleet_pace_ += kFleetStep * (engine.measure - fleet_pace_);
+    learn_pace(engine, engine.measure);
     if (tells_load_) return;
     engine.reported = now_;
     list_recent(engine);
@@ -741,14 +746,12 @@
     for (const auto& entry : text->entries) {
       const auto at = engines_.find(entry.engine);
       const Time told = now_ - entry.age * kTick;
-      const bool old = at != engines_.end() && tells_load_ && told <= at->second.reported;
-      if (at == engines_.end() || !at->second.ready || old) continue;
-      alive(at->second, told);
-      if (!tells_load_) {
-        learn_pace(at->second, entry.value / 32.0);
-        continue;
-      }
-      take_told(at->second, entry.value / 32.0 * cores(at->second), told);
+      if (at == engines_.end() || !at->second.ready) continue;
+      auto& engine = at->second;
+      if (tells_load_ && told <= engine.reported) continue;
+      alive(engine, told);
+      const double value = entry.value / 32.0;
+      tells_load_ ? take_told(engine, value * cores(engine), told) : learn_pace(engine, value);
     }
   }
 
@@ -773,9 +776,10 @@
     // Each message speaks for a part of the time since the last ones: in busy times they come close together.
     const auto size = kTellHead + static_cast<double>(encode(text).size());
     const double count = std::floor(tell_bytes_ / size);
+    if (count < 1) return;
     text.rate = static_cast<unsigned>(16 * count * size / kTellBytes / std::max(1e-3, untold_time_));
     const auto bytes = encode(text);
-    if (count > 0) untold_ = untold_time_ = 0;
+    untold_ = untold_time_ = 0;
     for (; tell_bytes_ >= size; tell_bytes_ -= size) {
       const auto to = static_cast<std::uint32_t>(random_() % (s_.gateways - 1));
       put(Tell{to < s_.me ? to : to + 1, bytes});
@@ -937,12 +941,12 @@
     double least = 0;
     const auto& engines = candidates(request);
     if (look(request, engines)) return nullptr;
+    const double blur = tells_load_ ? kLeastBlur + kBlur * (1 - trust()) : kLeastBlur;
     for (auto* engine : engines) {
       const auto there = [&](const Attempt& a) { return a.awaited() && a.engine == engine->entry.engine; };
       if (!healthy(request, *engine) || !room(*engine, request.asked.cls) || !may_send(request, *engine) ||
           std::ranges::any_of(request.attempts, there))
         continue;
-      const double blur = tells_load_ ? kLeastBlur + kBlur * (1 - trust()) : kLeastBlur;
       const double score = crowding(request, *engine) + blur * drawn();
       if (best == nullptr || score < least) std::tie(best, least) = std::tuple(engine, score);
     }
@@ -1069,7 +1073,8 @@
   }
 
   double share_rate(std::size_t t) const {
-    const double own = s_.tenants[t].share * arrival_rate_;  // of few queries the clumps would pass for more
+    const double own = s_.tenants[t].share * arrival_rate_;
+    // Of few queries, clumps would pass for more than a share.
     if (few_) return kOverShareSlack * std::max(own, s_.tenants[t].quota_per_s / s_.gateways);
     return (crowded() ? 1 : kOverShareSlack) * own;
   }
--- a/src/net/backoff.hpp
+++ b/src/net/backoff.hpp
@@ -1,5 +1,5 @@
-// When to try again after failures in a row: exponential back-off with jitter ("full jitter" kept off zero,
-// after Brooker, "Exponential Backoff And Jitter"), so that brokers whom one event has hit do not come back
+// When to try again after failures in a row: exponential back-off with "equal jitter"
+// (Brooker, "Exponential Backoff And Jitter"), so that brokers whom one event has hit do not come back
 // in step.
 #pragma once
 
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -89,16 +89,16 @@
   connection.data = nullptr;
   connection.lost = nullptr;
   if (!fit) pool_.discard(connection);
-  call.done(end, answer);
+  call.done(end, answer, fit ? &connection : nullptr);
 }
 
-void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Done done) {
-  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, done = std::move(done)](Connection* c) {
+void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Heard heard) {
+  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, heard = std::move(heard)](Connection* c) {
     HttpAnswer none;
-    if (c == nullptr) return done(End::not_connected, none);
-    call(*c, bytes, patience, [this, c, done](End end, HttpAnswer& answer) {
-      if (end == End::answered && answer.keep_alive && c->stream.open()) pool_.release(*c);
-      done(end, answer);
+    if (c == nullptr) return heard(End::not_connected, none);
+    call(*c, bytes, patience, [this, heard](End end, HttpAnswer& answer, Connection* fit) {
+      if (fit != nullptr) pool_.release(*fit);
+      heard(end, answer);
     });
   });
 }
@@ -150,9 +150,9 @@
   attempt.query = path_of(effect.ticket);
   attempt.asked = now_;
   const auto id = effect.id;
-  attempt.call =
-      call(*attempt.connection, http_call("POST", "/v1/store", host(attempt.engine), headers, effect.body),
-           kSilence, [this, id](End end, HttpAnswer& answer) { answered(id, end, answer); });
+  attempt.call = call(
+      *attempt.connection, http_call("POST", "/v1/store", host(attempt.engine), headers, effect.body),
+      kSilence, [this, id](End end, HttpAnswer& answer, Connection* fit) { answered(id, end, answer, fit); });
 }
 
 void Engines::run(const core::Abandon& effect) {
@@ -189,11 +189,14 @@
   }
 }
 
+std::string Engines::deletion(const Attempt& attempt) const {
+  return http_call("DELETE", attempt.query, host(attempt.engine), {}, {});
+}
+
 void Engines::give_up(AttemptId id) {
   auto& attempt = attempts_.at(id);
   attempt.stage = Stage::deleting;
-  aside(attempt.engine, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}), kAside,
-        [this, id](End how, HttpAnswer&) { deleted(id, how); });
+  aside(attempt.engine, deletion(attempt), kAside, [this, id](End how, HttpAnswer&) { deleted(id, how); });
 }
 
 // An engine that drains takes no new connections, but still answers on the open ones.
@@ -210,13 +213,11 @@
 
 void Engines::recall(AttemptId id) {
   auto& attempt = attempts_.at(id);
-  attempt.call = call(*attempt.connection, http_call("DELETE", attempt.query, host(attempt.engine), {}, {}),
-                      kAside, [this, id](End how, HttpAnswer& answer) {
-                        auto& connection = attempts_.at(id).connection;
-                        if (how != End::answered || !answer.keep_alive || !connection->stream.open())
-                          connection = nullptr;
-                        deleted(id, how);
-                      });
+  attempt.call =
+      call(*attempt.connection, deletion(attempt), kAside, [this, id](End how, HttpAnswer&, Connection* fit) {
+        attempts_.at(id).connection = fit;
+        deleted(id, how);
+      });
 }
 
 void Engines::park(AttemptId id) {
@@ -282,13 +283,12 @@
 
 // ---- an attempt's way
 
-void Engines::answered(AttemptId id, End how, HttpAnswer& answer) {
+void Engines::answered(AttemptId id, End how, HttpAnswer& answer, Connection* fit) {
   const auto found = attempts_.find(id);
   if (found == attempts_.end()) return;
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
-  if (how != End::answered || !answer.keep_alive || !attempt.connection->stream.open())
-    attempt.connection = nullptr;                         // it is gone
+  attempt.connection = fit;
   if (attempt.stage == Stage::deleting) return park(id);  // the answer to that call ends it
   if (attempt.stage == Stage::recalling) {
     if (how == End::answered && answer.status != 202) return end(id, AttemptEnd::withdrawn);  // it has ended
@@ -359,10 +359,10 @@
   if (attempt.connection == nullptr) return reconnect(id);
   const auto page = attempt.stage == Stage::paging ? attempt.next_page : 0;
   attempt.asked = now_;
-  attempt.call =
-      call(*attempt.connection,
-           http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}),
-           kSilence, [this, id](End how, HttpAnswer& answer) { answered(id, how, answer); });
+  attempt.call = call(
+      *attempt.connection,
+      http_call("GET", attempt.query + "/" + std::to_string(page), host(attempt.engine), {}, {}), kSilence,
+      [this, id](End how, HttpAnswer& answer, Connection* fit) { answered(id, how, answer, fit); });
 }
 
 // News and pages may be asked for again: asking does nothing to the query.
@@ -395,9 +395,8 @@
       pool_.release(*connection);
     } else {
       patience_.arm(now_ + kSilence, out->first);
-      out->second.done = [this, connection](End end, HttpAnswer& answer) {
-        if (end == End::answered && answer.keep_alive && connection->stream.open())
-          pool_.release(*connection);
+      out->second.done = [this](End, HttpAnswer&, Connection* fit) {
+        if (fit != nullptr) pool_.release(*fit);
       };
     }
   }
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -37,7 +37,9 @@
   // beside the attempt's; recalling: that failed, so on the attempt's own, once the call on it is through.
   enum class Stage { waiting, ready, posted, polling, paging, leaving, deleting, recalling };
   enum class End { answered, not_connected, unsent, broken, silent };
-  using Done = std::function<void(End, HttpAnswer&)>;
+  // The connection comes back where it is fit for another call; otherwise it is gone, and none comes.
+  using Done = std::function<void(End, HttpAnswer&, Connection* fit)>;
+  using Heard = std::function<void(End, HttpAnswer&)>;
 
   struct Attempt {
     core::EngineId engine = 0;
@@ -62,9 +64,9 @@
   std::uint64_t call(Connection& connection, const std::string& bytes, core::Time patience, Done done);
   void finish(std::uint64_t serial, End end);
   // A call on any connection of the engine's.
-  void aside(core::EngineId engine, std::string bytes, core::Time patience, Done done);
+  void aside(core::EngineId engine, std::string bytes, core::Time patience, Heard heard);
 
-  void answered(core::AttemptId id, End end, HttpAnswer& answer);
+  void answered(core::AttemptId id, End end, HttpAnswer& answer, Connection* fit);
   void ask(core::AttemptId id);  // for news, or for the next page
   void reconnect(core::AttemptId id);
   bool take_page(Attempt& attempt, HttpAnswer& answer);  // false: it is spoilt
@@ -76,6 +78,7 @@
   void park(core::AttemptId id);                          // its connection, without a call for a while
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
+  std::string deletion(const Attempt& attempt) const;  // the call that gives it up
 
   net::Pool pool_;
   std::vector<std::string> class_names_, load_fields_;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -114,10 +114,10 @@
 void check(const Settings& settings);  // throws std::invalid_argument naming a senseless field
 
 // What gateways tell each other, numbers with their low byte first: 'o', then for each engine its id (4
-// bytes) and own threads there (1); or 'r', own threads in all and queries a second in 16ths (2 each), then
-// for each report the engine (4), its threads a core in 32nds (1) and the report's age in ticks (1); where
-// the settings' reports tell no load, the pace of the sender's last answer there instead. Text of other
-// lengths is no message at all.
+// bytes) and own threads there (1); or 'r', the mean of own threads in the time that the message speaks for
+// and 16 over that time in s (2 each), then for each report the engine (4), its threads a core in 32nds (1)
+// and the report's age in ticks (1); where the settings' reports tell no load, the pace of the sender's last
+// answer there instead. Text of other lengths is no message at all.
 struct PeerEntry {
   EngineId engine = 0;
   unsigned value = 0, age = 0;
