Begin tests and the benchmark of the core from one set of small settings

The settings of a core with one kind and the class lookup stood in core_test, hooked_core_test and hooks_cost, and a member and the look at effects of one type in two of them. tests/small_core.hpp holds them once.

--- a/benchmarks/hooks_cost.cpp
+++ b/benchmarks/hooks_cost.cpp
@@ -7,8 +7,8 @@
 #include <cstdlib>
 #include <new>
 
-#include "core/reducer.hpp"
 #include "hooks/machine.hpp"
+#include "small_core.hpp"
 
 namespace {
 std::size_t allocations = 0;
@@ -44,13 +44,7 @@
 const hooks::Words kWords{{"lookup"}, {"lycee-ennour"}, {"platform", "mysql"}};
 
 heronwell::Settings settings() {
-  heronwell::Settings s;
-  s.kinds = {{"std-8", 8, 16384}};
-  heronwell::ClassSettings lookup;
-  lookup.name = "lookup";
-  lookup.aim = 400ms;
-  lookup.give_up = 2s;
-  s.classes = {lookup};
+  auto s = test::small_settings();
   s.tenants.resize(1);
   s.tenants[0].name = "lycee-ennour";
   return s;
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -3,24 +3,20 @@
 
 #include <algorithm>
 
-#include "core/reducer.hpp"
+#include "small_core.hpp"
 
 namespace bellstair::core {
 namespace {
 using namespace std::chrono_literals;
 using heronwell::EngineState;
+using test::member;
 
 heronwell::Settings settings() {
-  heronwell::Settings s;
-  s.kinds = {{"std-8", 8, 16384}};
-  heronwell::ClassSettings lookup;
-  lookup.name = "lookup";
-  lookup.aim = 400ms;
-  lookup.give_up = 2s;
-  auto once = lookup;
+  auto s = test::small_settings();
+  auto once = s.classes[0];
   once.name = "once";
   once.effect = heronwell::Effect::unsafe;
-  s.classes = {lookup, once};
+  s.classes.push_back(once);
   s.max_attempts = 4;
   s.may_call_off = s.retry_after = true;
   s.max_retry_after = 500ms;
@@ -28,14 +24,6 @@
   return s;
 }
 
-Member member(EngineId id, EngineState state = EngineState::ready) {
-  Member out;
-  out.entry.engine = id;
-  out.entry.state = state;
-  out.address = "127.0.0.1:1";
-  return out;
-}
-
 class Driven {
  public:
   Driven() {
@@ -61,11 +49,7 @@
   }
   template <class T>
   std::vector<T> all() const {
-    std::vector<T> out;
-    for (const auto& effect : effects) {
-      if (const auto* e = std::get_if<T>(&effect)) out.push_back(*e);
-    }
-    return out;
+    return test::all_of<T>(effects);
   }
   void finish(AttemptId id, AttemptEnd how, std::string body = {}) {
     AttemptEnded ended;
--- a/tests/hooked_core_test.cpp
+++ b/tests/hooked_core_test.cpp
@@ -1,25 +1,20 @@
 // Requests inside their hooks, as the core sees them: taken, owed their one final answer, and in their place.
 #include <gtest/gtest.h>
 
-#include "core/reducer.hpp"
+#include "small_core.hpp"
 
 namespace bellstair::core {
 namespace {
 using namespace std::chrono_literals;
 
 heronwell::Settings settings() {
-  heronwell::Settings s;
-  s.kinds = {{"std-8", 8, 16384}};
-  heronwell::ClassSettings lookup;
-  lookup.name = "lookup";
-  lookup.aim = 400ms;
-  lookup.give_up = 2s;
-  auto load = lookup;
+  auto s = test::small_settings();
+  auto load = s.classes[0];
   load.name = "load";
   load.effect = heronwell::Effect::keyed;
   load.window = 10s;
   load.in_order = true;
-  s.classes = {lookup, load};
+  s.classes.push_back(load);
   s.tenants.resize(1);
   s.tenants[0].name = "acme";
   s.max_attempts = 4;
@@ -43,12 +38,8 @@
 class Hooked {
  public:
   explicit Hooked(hooks::Set set = hooked()) : reducer(settings(), 1, std::size_t{64} << 20, std::move(set)) {
-    Member engine;
-    engine.entry.engine = 7;
-    engine.entry.state = heronwell::EngineState::ready;
-    engine.address = "127.0.0.1:1";
     at(0ms, Listening{});
-    at(0ms, FleetChange{true, {engine}, true});
+    at(0ms, FleetChange{true, {test::member(7)}, true});
     at(0ms, Tick{});
   }
   void at(Time after, Event event) {
@@ -103,11 +94,7 @@
   }
   template <class T>
   std::vector<T> all() const {
-    std::vector<T> out;
-    for (const auto& effect : effects) {
-      if (const auto* e = std::get_if<T>(&effect)) out.push_back(*e);
-    }
-    return out;
+    return test::all_of<T>(effects);
   }
   // Statements in the order in which they left.
   std::vector<std::string> sent() {
--- /dev/null
+++ b/tests/small_core.hpp
@@ -0,0 +1,41 @@
+// What tests and benchmarks of the core begin with: one kind, one class, one engine, and a look at effects.
+#pragma once
+
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "core/reducer.hpp"
+
+namespace bellstair::test {
+
+inline heronwell::Settings small_settings() {
+  using namespace std::chrono_literals;
+  heronwell::Settings s;
+  s.kinds = {{"std-8", 8, 16384}};
+  heronwell::ClassSettings lookup;
+  lookup.name = "lookup";
+  lookup.aim = 400ms;
+  lookup.give_up = 2s;
+  s.classes = {lookup};
+  return s;
+}
+
+inline core::Member member(core::EngineId id, heronwell::EngineState state = heronwell::EngineState::ready) {
+  core::Member out;
+  out.entry.engine = id;
+  out.entry.state = state;
+  out.address = "127.0.0.1:1";
+  return out;
+}
+
+template <class T>
+std::vector<T> all_of(const core::Effects& effects) {
+  std::vector<T> out;
+  for (const auto& effect : effects) {
+    if (const auto* e = std::get_if<T>(&effect)) out.push_back(*e);
+  }
+  return out;
+}
+
+}  // namespace bellstair::test
