--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -77,7 +77,7 @@
 constexpr double kTellHead = 28;       // and of each one's IP and UDP heads
 constexpr double kLeastRate = 0.2;     // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
-constexpr double kPeerMemory = 1.5;    // s in which one loses weight: a level must follow a restart
+constexpr double kPeerMemory = 1.5;    // s in which one loses weight
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
 constexpr double kScatter = 1.5;  // variance of the queries told of an engine over their mean, if all is well
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
@@ -172,9 +172,12 @@
   }
 
   [[nodiscard]] double pool() const { return pool_; }
-  // Of the fleet, threads a core; below 0: nothing has told yet.
+  // Of the fleet, threads a core; below 0: nothing has told yet. While the gateways are not heard, it moves
+  // as their threads do here: with those of a mean gateway beside, since few threads of one tell little.
   [[nodiscard]] double level() const {
-    return now_ > level_at_ + kLevelLife ? -1 : level_ < 0 ? told_level_ : level_;
+    if (level_ < 0) return now_ > level_at_ + kLevelLife ? -1 : told_level_;
+    const double mean = std::max(1.0, level_ * cores_ / s_.gateways);
+    return level_ * (own_lately_ + mean) / (own_then_ + mean);
   }
 
  private:
@@ -726,8 +729,7 @@
     take_load(engine, probe.load);
   }
 
-  // Few gateways tell all others their own threads; many tell a few, drawn, the newest reports they have, at
-  // so many bytes a query. A malformed message is ignored whole.
+  // Few gateways tell all others their own threads; many tell a few, drawn, the newest reports they have.
   void on(const PeerMessage& message) {
     const auto text = decode(message.bytes);
     if (!text) return;
@@ -741,7 +743,7 @@
     const double kept = std::exp(-secs(now_ - std::exchange(peer_at_, now_)) / kPeerMemory);
     peer_gap_ = kept * peer_gap_ + gap;
     peer_threads_ = kept * peer_threads_ + gap * text->threads;
-    level_at_ = now_;
+    own_then_ = own_lately_;
     if (++peers_heard_ >= kPeersNeeded)
       level_ = peer_threads_ / peer_gap_ * s_.gateways / std::max(1.0, cores_);
     for (const auto& entry : text->entries) {
@@ -1035,6 +1037,7 @@
     untold_ += running() * passed;
     untold_time_ += passed;
     own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
+    own_lately_ += std::min(1.0, passed / kPeerMemory) * (running() - own_lately_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
@@ -1120,20 +1123,19 @@
   std::deque<std::pair<Time, Engine*>> recent_;  // newest reports
   std::uint64_t look_ = 0;
   bool started_ = false, fleet_changed_ = false, readers_wait_ = false;
-  bool tells_load_ = false;  // reports hold a figure that take_load() can use
-  bool few_ = false;         // the pool holds few queries
-  unsigned widest_ = 1;      // threads of a query
+  bool tells_load_ = false;                // reports hold a figure that take_load() can use
+  bool few_ = false;                       // the pool holds few queries
+  unsigned widest_ = 1, peers_heard_ = 0;  // threads of a query; messages
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
   double copy_work_ = 0;  // core-seconds that second copies may still cost
   double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
   double peer_gap_ = 0, peer_threads_ = 0;
   double untold_ = 0, untold_time_ = 0;  // thread-seconds run since the last message, and s
-  unsigned peers_heard_ = 0;
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
-  double own_threads_ = 0;               // that run here, of late
-  double scatter_ = 1;                   // of reports, see kScatter
-  double fleet_errors_ = 0;              // share of all engines' outcomes of late
+  double own_threads_ = 0, own_lately_ = 0, own_then_ = 0;  // of late, and at the last message
+  double scatter_ = 1;                                      // of reports, see kScatter
+  double fleet_errors_ = 0;                                 // share of all engines' outcomes of late
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{}, peer_at_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -127,8 +127,9 @@
         refused += std::holds_alternative<Refuse>(action) ? 1 : 0;
       }
     }
-    for (std::size_t i = 0; i < mail.size(); ++i) fleet.all[i]->at(now, std::move(mail[i]));
+    for (std::size_t i = 0; i < mail.size() && !silent; ++i) fleet.all[i]->at(now, std::move(mail[i]));
   }
+  bool silent = false;  // the gateways don't hear each other
   Fleet& fleet;
   Time now{200s};
   RequestId last = 0;
@@ -167,6 +168,38 @@
   EXPECT_LT(sd, 0.25 * mean) << "one gateway's belief against another's";
 }
 
+// Cut off from each other, three hundred brokers believed for 5 s in the level of before, while their engines
+// filled up to ten threads a core and came to a stand for the next ten seconds; then in none at all.
+TEST(Fleet, GatewaysThatDoNotHearEachOtherSeeTheFleetFillByTheirOwnThreads) {
+  Settings s = fleet_settings();
+  Fleet fleet(s);
+  Load load(fleet);
+  std::vector<double> chance;
+  for (unsigned i = 0; i < kGateways; ++i) chance.push_back(i % 10 == 0 ? 0.2 : 0.04);
+  for (int n = 0; n < 300; ++n) load.step(chance, 200ms);
+  const auto beliefs = [&] {
+    double sum = 0, truth = 0;
+    for (int n = 0; n < 50; ++n) {
+      load.step(chance, 2s);
+      for (unsigned i = 0; i < kGateways; ++i) {
+        truth += 4.0 * load.running[i] / (8.0 * kEngines);
+        sum += fleet.all[i]->gateway.level();
+      }
+    }
+    return std::pair(sum / 50 / kGateways, truth / 50);
+  };
+  load.silent = true;
+  for (int n = 0; n < 100; ++n) load.step(chance, 2s);  // engines slow down
+  const auto [believed, truth] = beliefs();
+  EXPECT_GT(truth, 1.5) << "the fleet has filled";
+  EXPECT_GT(believed, 0.3 * truth) << "it has only begun to fill";
+  EXPECT_LT(believed, 2 * truth);
+  for (int n = 0; n < 300; ++n) load.step(chance, 2s);
+  const auto [later, true_then] = beliefs();
+  EXPECT_GT(later, 0.5 * true_then) << "a level is believed however long the silence";
+  EXPECT_LT(true_then, 4) << "and heeded";
+}
+
 // A broker asks each of thirty engines once in five seconds: by its own answers alone it learns of a slow one
 // when that has long been overrun by all. What others have measured is told beside the level.
 TEST(Fleet, ASlowEngineIsKnownToAllWithinSeconds) {
