Find a datagram's sender by its address, and try a thousand brokers and engines

Each datagram was compared with every peer in turn (Peers::on_io): its work grew with the brokers. Senders are now looked up by address and port. A test has the last of 1,024 peers heard and a stranger not; it guards the look-up and passes on the walk too. Another starts the program with 1,024 engines and 1,024 brokers, serves, replaces all engines in one event, and serves from the new ones alone; it needed no change.

--- a/src/platform/peers.cpp
+++ b/src/platform/peers.cpp
@@ -10,11 +10,18 @@
 namespace bellstair::platform {
 namespace {
 constexpr std::size_t kMostBytes = 256;  // a longer datagram voids all
-}
+
+std::uint64_t place(const sockaddr_in& at) { return std::uint64_t{at.sin_addr.s_addr} << 16 | at.sin_port; }
+}  // namespace
 
 Peers::Peers(ev::loop_ref loop, const config::Config& config, Post post)
     : io_(loop), all_(net::parse_address(config.peers_all)), me_(config.settings.me), post_(std::move(post)) {
-  for (const auto& peer : config.peers) peers_.push_back(net::parse_address(peer).value_or(sockaddr_in{}));
+  for (const auto& peer : config.peers) {
+    const auto at = net::parse_address(peer);
+    if (at && peers_.size() != me_)
+      numbers_.try_emplace(place(*at), static_cast<std::uint32_t>(peers_.size()));
+    peers_.push_back(at.value_or(sockaddr_in{}));
+  }
   const auto at = net::parse_address(config.peer_listen);
   if (!at) return;
   fd_ = net::bind_udp(*at);
@@ -49,13 +56,9 @@
                                 reinterpret_cast<sockaddr*>(&from), &size);
     if (got < 0) return;
     if (static_cast<std::size_t>(got) > kMostBytes) continue;
-    for (std::size_t n = 0; n < peers_.size(); ++n) {
-      if (n == me_ || peers_[n].sin_addr.s_addr != from.sin_addr.s_addr ||
-          peers_[n].sin_port != from.sin_port)
-        continue;
-      post_(core::PeerHeard{static_cast<std::uint32_t>(n), {buffer.data(), static_cast<std::size_t>(got)}});
-      break;
-    }
+    const auto sender = numbers_.find(place(from));
+    if (sender == numbers_.end()) continue;  // a stranger
+    post_(core::PeerHeard{sender->second, {buffer.data(), static_cast<std::size_t>(got)}});
   }
 }
 
--- a/src/platform/peers.hpp
+++ b/src/platform/peers.hpp
@@ -4,6 +4,7 @@
 #include <ev++.h>
 
 #include <functional>
+#include <unordered_map>
 #include <vector>
 
 #include "config/config.hpp"
@@ -23,6 +24,7 @@
   ev::io io_;
   net::Fd fd_;
   std::vector<sockaddr_in> peers_;
+  std::unordered_map<std::uint64_t, std::uint32_t> numbers_;  // of the others, by address and port
   std::optional<sockaddr_in> all_;
   std::size_t me_;
   Post post_;
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -5,6 +5,7 @@
 
 #include "harness.hpp"
 #include "platform/changelog.hpp"
+#include "platform/peers.hpp"
 
 namespace bellstair::test {
 namespace {
@@ -379,5 +380,30 @@
   EXPECT_LT(sum / 10, 800ms);
 }
 
+TEST(Peers, TheSenderIsFoundAmongAThousandAndAStrangerIsNot) {
+  ev::dynamic_loop loop;
+  const auto any = net::parse_address("127.0.0.1:0").value();
+  const auto last = net::bind_udp(any), stranger = net::bind_udp(any);
+  config::Config config;
+  {
+    const auto free = net::bind_udp(any);
+    config.peer_listen = net::local_address(free.get());
+  }
+  for (int n = 0; n < 1023; ++n)
+    config.peers.push_back("127.1." + std::to_string(n / 250) + "." + std::to_string(n % 250 + 1) + ":7946");
+  config.peers.push_back(net::local_address(last.get()));
+  config.settings.me = 3;
+  config.peers[3] = config.peer_listen;
+  std::vector<std::uint32_t> heard;
+  platform::Peers peers(loop, config,
+                        [&](core::Event e) { heard.push_back(std::get<core::PeerHeard>(e).from); });
+  const auto to = net::parse_address(config.peer_listen).value();
+  for (const auto* from : {&stranger, &last})
+    ASSERT_EQ(::sendto(from->get(), "o", 1, 0, reinterpret_cast<const sockaddr*>(&to), sizeof to), 1);
+  const auto until = std::chrono::steady_clock::now() + kPatience;
+  while (heard.empty() && std::chrono::steady_clock::now() < until) loop.run(ev::ONCE);
+  EXPECT_EQ(heard, std::vector<std::uint32_t>{1023});
+}
+
 }  // namespace
 }  // namespace bellstair::test
--- a/tests/net/platform_test.cpp
+++ b/tests/net/platform_test.cpp
@@ -124,6 +124,36 @@
   EXPECT_EQ(one.posts(), 1U);
 }
 
+// Sizes of a whole fleet, with no limit on either list below that.
+TEST(Platform, AThousandBrokersAndAThousandEnginesAreServedAndTheirChangesFollowed) {
+  constexpr int kSize = 1024;
+  HttpEngine many([](const Call&) { return rows("1\t1\t1\n"); });
+  HttpEngine other([](const Call&) { return rows("2\t2\t2\n"); });
+  const auto id = [](int n) {
+    char text[16];
+    std::snprintf(text, sizeof text, "s-%08x", n);
+    return std::string(text);
+  };
+  std::vector<std::pair<std::string, std::string>> engines;
+  for (int n = 1; n <= kSize; ++n) engines.emplace_back(id(n), many.server.address());
+  Broker broker(engines, {}, 0, {{"balancers", kSize}, {"me", kSize - 1}});
+  Client client(broker.address);
+  EXPECT_TRUE(client.green());
+  for (int n = 1; n <= 50; ++n) {
+    client.ask(n, "lookup", kSelect);
+    EXPECT_EQ(body(client.answer()), "1\t1\t1\n");
+  }
+  json news = json::array();
+  for (int n = 1; n <= kSize; ++n) news.push_back(server(id(n), many.server.address(), "terminating"));
+  for (int n = 1; n <= kSize; ++n) news.push_back(server(id(kSize + n), other.server.address()));
+  broker.changes.push(news);
+  broker.changes.wait_until_told();
+  for (int n = 51; n <= 100; ++n) {
+    client.ask(n, "lookup", kSelect);
+    EXPECT_EQ(body(client.answer()), "2\t2\t2\n");
+  }
+}
+
 TEST(Platform, SigtermTurnsHealthRedAndFinishesWhatWasTaken) {
   std::atomic<bool> done = false;
   HttpEngine engine([&](const Call&) { return done ? rows("x\ty\tz\n") : http(202); });
