--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -77,7 +77,7 @@
 constexpr double kTellHead = 28;       // and of each one's IP and UDP heads
 constexpr double kLeastRate = 0.2;     // queries a second that a gateway is taken to have, at the least
 constexpr unsigned kPeersNeeded = 10;  // messages before the gateways' own threads tell the fleet's level
-constexpr double kPeerMemory = 1.5;    // s in which one loses weight
+constexpr double kPeerMemory = 1.5;    // s in which one loses weight: a level must follow a restart
 constexpr double kApart = 0.25;        // of what a report differs from the others, believed at the least
 constexpr double kScatter = 1.5;  // variance of the queries told of an engine over their mean, if all is well
 constexpr double kMostScatter = 30, kScatterStep = 0.05;  // that one report counts for; weight of one
@@ -729,7 +729,7 @@
     take_load(engine, probe.load);
   }
 
-  // Few gateways tell all others their own threads; many tell a few, drawn, the newest reports they have.
+  // Few gateways tell all others their own threads; many tell a few their newest reports. Malformed: ignored.
   void on(const PeerMessage& message) {
     const auto text = decode(message.bytes);
     if (!text) return;
@@ -1133,7 +1133,7 @@
   double untold_ = 0, untold_time_ = 0;  // thread-seconds run since the last message, and s
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
-  double own_threads_ = 0, own_lately_ = 0, own_then_ = 0;  // of late, and at the last message
+  double own_threads_ = 0, own_lately_ = 0, own_then_ = 0;  // over 5 s; 1.5 s; at the last message
   double scatter_ = 1;                                      // of reports, see kScatter
   double fleet_errors_ = 0;                                 // share of all engines' outcomes of late
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{}, peer_at_{};
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -51,6 +51,13 @@
     what.body = "SELECT 1";
     engines_.run(what);
   }
+  // How an attempt ends that is given up while its engine is asked for news.
+  core::AttemptEnded abandoned(HttpEngine& engine) {
+    start();
+    until(engine, [](const Call& call) { return call.method == "GET"; });
+    run(core::Abandon{id});
+    return wait<core::AttemptEnded>();
+  }
   template <class Effect>
   void run(Effect effect) {
     engines_.run(effect);
@@ -151,10 +158,7 @@
     return http(202);
   });
   Driven d(engine);
-  d.start();
-  d.until(engine, poll);
-  d.run(core::Abandon{d.id});
-  const auto ended = d.wait<core::AttemptEnded>();
+  const auto ended = d.abandoned(engine);
   EXPECT_EQ(ended.end, AttemptEnd::withdrawn);
   // The call for news that was out may have come at the last moment, been held, and kept the query alive.
   EXPECT_GT(ended.lingers, kOrphan);
@@ -201,10 +205,7 @@
 TEST(Engines, ADeleteThatIsRefusedIsNotDone) {
   HttpEngine engine([](const Call& call) { return http(gone(call) ? 503 : 202); });
   Driven d(engine);
-  d.start();
-  d.until(engine, poll);
-  d.run(core::Abandon{d.id});
-  const auto ended = d.wait<core::AttemptEnded>();
+  const auto ended = d.abandoned(engine);
   EXPECT_EQ(ended.end, AttemptEnd::withdrawn);
   EXPECT_GT(ended.lingers, 2s);
 }
