--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -234,7 +234,7 @@
   }
 
   void begin_cold(Engine& engine, Time since) {
-    engine.cold_since = since;
+    engine.start.begin(since);
     engine.broke = Time::zero();
     engine.health = Health::well;
     engine.errors = 0;
@@ -250,12 +250,12 @@
     return times <= kSlow ? 1 : std::min(times, kMostSlow);
   }
   bool cold(const Engine& engine) const {
-    return engine.cold_since > Time::zero() && now_ < engine.cold_since + s_.ramp_time;
+    return engine.start.since() > Time::zero() && now_ < engine.start.since() + s_.ramp_time;
   }
   // Least share of its capacity an engine has had over the last `back`.
   double warmth(const Engine& engine, Time back) const {
     if (!cold(engine)) return 1;
-    const double age = std::max(0.0, secs(now_ - engine.cold_since - back)) / secs(s_.ramp_time);
+    const double age = std::max(0.0, secs(now_ - engine.start.since() - back)) / secs(s_.ramp_time);
     return s_.cold_from + (1 - s_.cold_from) * std::min(1.0, age);
   }
 
@@ -539,24 +539,22 @@
       return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
     if (result != Result::not_connected && result != Result::reset) return;
     // Its process may have ended, and begin anew before any list tells.
-    if (engine.broke == Time::zero()) engine.cold_before = engine.cold_since;
-    engine.cold_since = now_;
+    engine.start.doubt(now_, result == Result::not_connected);
     engine.broke = result == Result::reset ? now_ : Time::zero();
     if (result == Result::not_connected) return rest(engine, "takes no connections");
     judge_failed(engine, ask(engine) ? kErrorStep : 2 * kErrorStep);
   }
 
-  void alive(Engine& engine, Time at) {
-    if (engine.broke == Time::zero() || at <= engine.broke) return;
-    if (at <= engine.broke + kAliveSoon) engine.cold_since = engine.cold_before;
-    engine.broke = Time::zero();
+  void alive(Engine& engine, Time at, Time sent) {
+    engine.start.heard(at, sent, kAliveSoon);
+    if (at > engine.broke) engine.broke = Time::zero();
   }
 
   void judge_served(Engine& engine, const Request& request, const Outcome& outcome) {
     const auto c = request.asked.cls;
     auto& cls = classes_[c];
     engine.heard = now_;
-    alive(engine, now_);
+    alive(engine, now_, request.attempts[outcome.attempt].sent);
     engine.errors -= kErrorStep * engine.errors;
     fleet_errors_ -= kFleetErrors * fleet_errors_;
     for (const auto& attempt : request.attempts) {
@@ -675,8 +673,10 @@
     auto* request = find(note.request);
     if (at != engines_.end()) at->second.heard = now_;
     if (request == nullptr || note.attempt >= request->attempts.size()) return;
-    request->attempts[note.attempt].heard = now_;
-    const double age = secs(now_ - request->attempts[note.attempt].sent);
+    auto& attempt = request->attempts[note.attempt];
+    attempt.heard = now_;
+    if (at != engines_.end()) alive(at->second, now_, attempt.sent);
+    const double age = secs(now_ - attempt.sent);
     // A bad plan, or an engine far too slow: what is left takes longer than to begin anew elsewhere.
     const bool slow = note.kind == NoteKind::progress && note.attempt == 0 && age > secs(kPlanLook) &&
                       age / std::max(note.amount, 0.005) >
@@ -725,7 +725,7 @@
     if (at == engines_.end()) return;
     auto& engine = at->second;
     if (probe.result != Result::served) return engine.broke > Time::zero() ? rest(engine, "is down") : void();
-    alive(engine, now_);
+    alive(engine, now_, now_);
     take_load(engine, probe.load);
   }
 
@@ -752,7 +752,7 @@
       if (at == engines_.end() || !at->second.ready) continue;
       auto& engine = at->second;
       if (tells_load_ && told <= engine.reported) continue;
-      alive(engine, told);
+      alive(engine, told, told);
       const double value = entry.value / 32.0;
       tells_load_ ? take_told(engine, value * cores(engine), told) : learn_pace(engine, value);
     }
--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -1,11 +1,15 @@
 #include "net/pool.hpp"
 
 #include <algorithm>
+#include <cerrno>
 
 namespace bellstair::net {
 namespace {
 using namespace std::chrono_literals;
 constexpr Time kSweep = 1s;
+// A connection reset while it was made tells nothing of its engine, unlike one that nobody takes: so many in
+// a row are dialled again, within the waiter's time.
+constexpr int kRedials = 2;
 }  // namespace
 
 Pool::Pool(ev::loop_ref loop, Limits limits, Greeter greeter)
@@ -132,10 +136,16 @@
 void Pool::dialled(Connection& connection, bool well) {
   auto& engine = engines_[connection.engine];
   if (!well) {
-    ++engine.failures;
+    // A waiter that is left has the next settle() dial again.
+    const bool again = connection.stream.error() == ECONNRESET && ++engine.resets <= kRedials;
+    if (!again) {
+      ++engine.failures;
+      engine.resets = 0;
+    }
     return remove(connection);
   }
   connection.ready = true;
+  engine.resets = 0;
   --engine.dialling;
   release(connection);
 }
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -76,6 +76,7 @@
     std::deque<Waiter> waiting;
     std::size_t dialling = 0;
     std::size_t failures = 0;  // dials that failed, not yet told to a waiter
+    int resets = 0;            // dials in a row that were reset
   };
 
   void dial(std::uint32_t id, Engine& engine);
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -34,6 +34,7 @@
     const auto sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
     if (sent < 0 && errno != EAGAIN && errno != EINTR) {
       failed_ = true;  // told from the loop, since the caller is in the middle of something
+      error_ = errno;
       watch();
       return false;
     }
@@ -82,7 +83,8 @@
   return got >= 0 || (errno != EAGAIN && errno != EINTR);
 }
 
-void Stream::fail() {
+void Stream::fail(int error) {
+  error_ = error;
   io_.stop();
   fd_.reset();
   if (handlers_.closed) {
@@ -92,9 +94,9 @@
 }
 
 void Stream::on_io(ev::io&, int events) {
-  if (failed_) return fail();
+  if (failed_) return fail(error_);
   if (dialling_) {
-    if (connect_error(fd_.get()) != 0) return fail();
+    if (const int error = connect_error(fd_.get()); error != 0) return fail(error);
     dialling_ = false;
     const auto alive = alive_;
     watch();
@@ -117,7 +119,7 @@
     return;
   }
   if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
-  if (got < 0) return fail();
+  if (got < 0) return fail(errno);
   ended_ = true;
   watch();
   if (handlers_.ended) handlers_.ended();
@@ -128,7 +130,7 @@
     const auto sent = ::send(fd_.get(), out_.data() + out_at_, unwritten(), MSG_NOSIGNAL);
     if (sent < 0) {
       if (errno == EAGAIN || errno == EINTR) break;
-      return fail();
+      return fail(errno);
     }
     out_at_ += static_cast<std::size_t>(sent);
     written_ += static_cast<std::size_t>(sent);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -42,6 +42,9 @@
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
+  [[nodiscard]] int error() const {
+    return error_;
+  }  // errno of what broke it; 0: nothing did, or it was closed
   [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
   [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
   // For a stream at rest: true if the peer has closed it, or said something unasked.
@@ -51,10 +54,11 @@
   void on_io(ev::io& watcher, int events);
   void read();
   void flush();
-  void fail();
+  void fail(int error);
 
   ev::io io_;
   Fd fd_;
+  int error_ = 0;
   bool dialling_, paused_ = false, ended_ = false, failed_ = false, finishing_ = false;
   std::size_t most_unwritten_;
   std::string out_;
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -20,6 +20,7 @@
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
 constexpr int kReconnects = 2;
+constexpr int kProbeAgain = 1;  // times that a probe whose connection broke is made again
 // A query that nobody asks for runs on for 2 s (PROTOCOL), and counts as asked for while its engine holds the
 // call for news, for up to 250 ms; time limits grow by 50 ms. To this comes the time that bytes may be on
 // their way.
@@ -258,10 +259,12 @@
         [](End, HttpAnswer&) {});
 }
 
-void Engines::run(const core::ProbeEngine& effect) {
-  const auto engine = effect.engine;
+void Engines::run(const core::ProbeEngine& effect) { probe(effect.engine, kProbeAgain); }
+
+// To ask again does no harm, and one reset connection tells nothing of its engine.
+void Engines::probe(core::EngineId engine, int again) {
   aside(engine, http_call("GET", "/-/gauges", host(engine), {}, {}), kAside,
-        [this, engine](End end, HttpAnswer& answer) {
+        [this, engine, again](End end, HttpAnswer& answer) {
           core::ProbeEnded probe{engine, heronwell::Result::served, {}};
           switch (end) {
             case End::answered:
@@ -273,6 +276,7 @@
               break;
             case End::unsent:
             case End::broken:
+              if (again > 0) return this->probe(engine, again - 1);
               probe.result = heronwell::Result::reset;
               break;
             case End::silent:
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -63,6 +63,7 @@
 
   std::uint64_t call(Connection& connection, const std::string& bytes, core::Time patience, Done done);
   void finish(std::uint64_t serial, End end);
+  void probe(core::EngineId engine, int again);
   // A call on any connection of the engine's.
   void aside(core::EngineId engine, std::string bytes, core::Time patience, Heard heard);
 
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -43,6 +43,42 @@
 
 enum class Health { well, resting, trial };
 
+// Since when an engine's process is taken to run, and so to be cold; 0: long ago. A list tells it late. A
+// lost or refused connection may mean that the process has ended and begins anew, or be the network's doing
+// alone: it counts as a start until the process turns out to have outlived it.
+class ColdStart {
+ public:
+  [[nodiscard]] Time since() const { return doubts_.empty() ? begun_ : std::max(begun_, doubts_.back().at); }
+  void begin(Time since) {  // as the list tells
+    begun_ = since;
+    doubts_.clear();
+  }
+  // refused: nobody was there, so that a word soon afterwards may be a new process's.
+  void doubt(Time at, bool refused) {
+    if (doubts_.size() == kMostDoubts) {
+      begun_ = std::max(begun_, doubts_.front().at);
+      doubts_.pop_front();
+    }
+    doubts_.push_back({at, refused});
+  }
+  // It was heard of what it was sent at `sent`: the process has lived since then. So it has if a connection
+  // broke less than `soon` ago, in which no process ends and begins anew.
+  void heard(Time at, Time sent, Time soon) {
+    std::erase_if(doubts_, [&](const Doubt& doubt) {
+      return doubt.at < at && (doubt.at > sent || (!doubt.refused && at <= doubt.at + soon));
+    });
+  }
+
+ private:
+  struct Doubt {
+    Time at{};
+    bool refused = false;
+  };
+  static constexpr std::size_t kMostDoubts = 16;  // beyond, the oldest stands for good
+  Time begun_{};
+  std::deque<Doubt> doubts_;
+};
+
 struct Engine {
   EngineEntry entry;
   bool ready = false;
@@ -55,9 +91,9 @@
   double measure = 1;         // and of the last answer here
   bool slow = false;          // far slower than the others
   Time heard{};
-  Time cold_since{};            // 0: warm
-  Time broke{}, cold_before{};  // last broken connection, unless it was heard since; cold_since before it
-  Time turn_until{};            // while cold: this gateway's turn, and core-seconds left of it
+  ColdStart start;
+  Time broke{};       // the last connection that broke, unless it was heard since
+  Time turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
   double turn_left = 0;
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <tuple>
 
+#include "../src/state.hpp"
 #include "bench.hpp"
 
 namespace heronwell::test {
@@ -342,6 +343,64 @@
   }
 }
 
+// Connections were reset all over the fleet, on a busy day faster than answers came: engines that ran on
+// counted as cold for 15 s each time, and half of what was asked was refused.
+TEST(Unreachable, AnEngineThatAnswersForWhatItHadBeforeABreakHasNotBegunAnew) {
+  for (const bool before :
+       {true, false}) {  // the answer is for a query from before the break, or from after it
+    Settings s = plain_settings();
+    s.gateways = 40;
+    s.may_probe = true;
+    s.load_fields = {LoadField::inflight};
+    Drive d(s);
+    d.list({engine(7)});
+    const auto send = [&](RequestId id) {
+      d.ask(id, 0);
+      d.until(d.now + 60ms);
+    };
+    send(1);
+    if (before) send(2);
+    d.ends(1, 0, 7, Result::reset);
+    const auto until_break = d.sends.size();
+    for (RequestId id = 3; !before && d.sends.size() == until_break && id < 900; ++id)
+      send(id);  // for its turn
+    ASSERT_EQ(d.sends.size() > until_break, !before);
+    const auto sent = before ? RequestId{2} : d.sends[until_break].request;
+    const auto n = static_cast<AttemptIndex>(sent == 1 ? 1 : 0);
+    d.until(d.now + 900ms);
+    d.ends(sent, n, 7, Result::served);
+    const auto had = d.sends.size();
+    for (RequestId id = 1000; id < 1010; ++id) d.ask(id, 0);
+    d.until(d.now + 60ms);
+    EXPECT_EQ(d.sends.size() > had + 3, before);
+  }
+}
+
+TEST(ColdStart, StandsUntilItsProcessTurnsOutToHaveOutlivedIt) {
+  constexpr Time kSoon = 500ms;
+  ColdStart start;
+  start.begin(1s);
+  start.doubt(10s, false);
+  start.doubt(20s, true);
+  start.doubt(30s, false);
+  EXPECT_EQ(start.since(), 30s);
+  start.heard(30s, 29s, kSoon);  // what came as the connection broke may be its last word
+  EXPECT_EQ(start.since(), 30s);
+  start.heard(33s, 25s, kSoon);  // alive since 25 s: the last break was the network's
+  EXPECT_EQ(start.since(), 20s);
+  start.heard(Time(20s) + 400ms, Time(20s) + 100ms,
+              kSoon);  // a new process may answer so soon, where nobody was
+  EXPECT_EQ(start.since(), 20s);
+  start.heard(35s, 5s, kSoon);
+  EXPECT_EQ(start.since(), 1s);
+  start.doubt(40s, false);
+  start.heard(Time(40s) + 400ms, Time(40s) + 300ms, kSoon);  // none ends and begins anew in so short a time
+  EXPECT_EQ(start.since(), 1s);
+  for (int i = 0; i < 100; ++i) start.doubt(Time(50s) + i * 1s, false);
+  start.heard(200s, 2s, kSoon);
+  EXPECT_EQ(start.since(), Time(50s) + 83s) << "the oldest stand for good once there are too many";
+}
+
 TEST(Unreachable, AnEngineThatBreaksConnectionsIsTakenForColdByAllGateways) {
   for (const auto result : {Result::not_connected, Result::reset}) {
     int tried = 0, early = 0;
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -17,10 +17,11 @@
 
 class Driven {
  public:
-  explicit Driven(HttpEngine& engine)
+  explicit Driven(HttpEngine& engine) : Driven(engine.server.address()) {}
+  explicit Driven(const std::string& address)
       : engines_(loop_, limits(), {"lookup"}, {"pending", "x1", "x0"},
                  [this](core::Event e) { events.push_back(std::move(e)); }) {
-    engines_.run(core::EngineMoved{7, engine.server.address()});
+    engines_.run(core::EngineMoved{7, address});
   }
   template <class T>
   T wait() {
@@ -355,6 +356,65 @@
   EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::not_connected);
 }
 
+// One reset connection passed for an engine that is down: it was rested, and all that ran there was taken
+// back.
+TEST(Engines, AProbeWhoseConnectionIsResetIsMadeAgainOnce) {
+  for (const int resets : {1, 2}) {
+    std::atomic<int> calls = 0;
+    Server engine([&](Socket& socket) {
+      read_call(socket);
+      if (++calls <= resets) return socket.reset();
+      socket.send(http(200, {}, "X-Meter: pending:3;x1:0.1;x0:0.1\r\n"));
+    });
+    Driven d(engine.address());
+    d.run(core::ProbeEngine{7});
+    const auto ended = d.wait<core::ProbeEnded>();
+    EXPECT_EQ(ended.result, resets == 1 ? heronwell::Result::served : heronwell::Result::reset);
+    EXPECT_EQ(calls, 2);
+  }
+}
+
+// A listener whose connections are reset before the one who dialled them has looked at them.
+class Resetting {
+ public:
+  Resetting() : fd_(net::listen_tcp(net::parse_address("127.0.0.1:0").value())) {}
+  void reset_next() {
+    Socket socket(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    socket.reset();
+  }
+  [[nodiscard]] std::string address() const { return net::local_address(fd_.get()); }
+
+ private:
+  net::Fd fd_;
+};
+
+// A dial that was reset passed for an engine that takes no connections: it was rested, and all that ran there
+// was taken back.
+TEST(Pool, ADialThatIsResetIsMadeAgainTwiceAndOneThatNobodyTakesIsNot) {
+  for (const int resets : {2, 3}) {
+    Resetting listener;
+    ev::dynamic_loop loop;
+    net::Pool::Limits limits;
+    limits.dial_timeout = 5s;
+    net::Pool pool(loop, limits);
+    pool.place(7, listener.address());
+    std::optional<bool> taken;
+    pool.acquire(7, [&](net::Pool::Connection* connection) { taken = connection != nullptr; });
+    for (int i = 0; i < resets; ++i) {
+      pool.settle();
+      EXPECT_FALSE(taken);
+      ASSERT_EQ(pool.size(), 1U);
+      listener.reset_next();
+      loop.run(ev::ONCE);
+    }
+    while (!taken) {
+      pool.settle();
+      if (!taken) loop.run(ev::ONCE);
+    }
+    EXPECT_EQ(*taken, resets == 2);
+  }
+}
+
 // Longer waits after failures had put off the moment from which a broker serves without a change log to 1.1
 // s.
 TEST(ChangeLog, ABrokerWhoseChangeLogRefusesServesOnWhatItWasToldWithinTheSecond) {
