--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -58,7 +58,8 @@
 constexpr std::uint8_t kSmallUp = 2, kBigDown = 0;  // of their small and big queries, by these sizes
 constexpr double kSmall = 0.7, kBig = 2.5;
 constexpr double kGrant = 3.2;          // memory granted, in needs of late as answers told them
-constexpr double kGrantEstimate = 2.0;  // memory granted, in estimates as answers set them right
+constexpr double kGrantEstimate = 2.0;  // memory granted, in estimates as answers set them right;
+constexpr double kGrantKept = 1.6;      // and where what is granted is kept from others, used or not
 constexpr double kWarmHome = 0.3;       // threads a core that a group's homes may be fuller by: warm data
 constexpr Time kFresh = 2500ms;         // older load reports tell nothing
 constexpr Time kLevelLife = 5s;         // without a report for so long, nothing is known of the fleet's level
@@ -143,11 +144,8 @@
     });
     for (const auto field : s_.load_fields)
       tells_load_ = tells_load_ || field == LoadField::inflight || field == LoadField::util;
-    double quota = 0;
-    for (const auto& tenant : s_.tenants) quota += tenant.quota_per_s;
-    arrival_rate_ = quota / s_.gateways;
-    tokens_.assign(s_.tenants.size(), 0);
-    for (std::size_t t = 0; t < tokens_.size(); ++t) tokens_[t] = share_rate(t) * kShareBurst;
+    for (const auto& tenant : s_.tenants) arrival_rate_ += tenant.quota_per_s / s_.gateways;
+    for (std::size_t t = 0; t < s_.tenants.size(); ++t) tokens_.push_back(share_rate(t) * kShareBurst);
   }
 
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& out) {
@@ -449,8 +447,9 @@
   double grant(const Request& request) const {
     const auto& cls = classes_[request.asked.cls];
     if (!(request.asked.memory_mb > 0)) return kGrant * cls.memory;
-    return kGrantEstimate * request.asked.memory_mb *
-           (cls.memory_told > 0 ? cls.memory / cls.memory_told : 1);
+    const double right = cls.memory_told > 0 ? cls.memory / cls.memory_told : 1;
+    return (s_.shortage == Shortage::overcommit ? kGrantEstimate : kGrantKept) * right *
+           request.asked.memory_mb;
   }
 
   std::uint8_t priority(const Request& request) const {
@@ -580,8 +579,9 @@
     }
     const double work = outcome.work ? secs(*outcome.work) : took * threads;
     cls.work += 0.05 * (work / request.size - cls.work);  // of all asked, though large ones go unserved
-    // Where the work is told, an answer's own length is taken out of its pace.
-    engine.measure = std::clamp(took / (outcome.work ? std::max(0.02, work / threads) : cls.base), 0.2, 8.0);
+    // An answer's own length is taken out of its pace: its work or, where that is not told, its estimate.
+    const double length = outcome.work ? std::max(0.02, work / threads) : cls.base * request.size;
+    engine.measure = std::clamp(took / length, 0.2, 8.0);
     learn_base(cls, took);
     fleet_pace_ += kFleetStep * (engine.measure - fleet_pace_);
     learn_pace(engine, engine.measure);
@@ -671,11 +671,10 @@
   void on(const Note& note) {
     const auto at = engines_.find(note.engine);
     auto* request = find(note.request);
-    if (at != engines_.end()) at->second.heard = now_;
-    if (request == nullptr || note.attempt >= request->attempts.size()) return;
+    if (at == engines_.end() || request == nullptr || note.attempt >= request->attempts.size()) return;
     auto& attempt = request->attempts[note.attempt];
-    attempt.heard = now_;
-    if (at != engines_.end()) alive(at->second, now_, attempt.sent);
+    at->second.heard = attempt.heard = now_;
+    alive(at->second, now_, attempt.sent);
     const double age = secs(now_ - attempt.sent);
     // A bad plan, or an engine far too slow: what is left takes longer than to begin anew elsewhere.
     const bool slow = note.kind == NoteKind::progress && note.attempt == 0 && age > secs(kPlanLook) &&
@@ -687,13 +686,14 @@
   // ---- what is known of an engine's load -----------------------------------------------------------------
   void take_load(Engine& engine, const std::vector<double>& load) {
     if (load.empty() || load.size() > s_.load_fields.size()) return;
-    double threads = -1;
+    double held = -1, waiting = 0, util = -1;
     for (std::size_t i = 0; i < load.size(); ++i) {
-      if (s_.load_fields[i] == LoadField::inflight)
-        threads = std::max(0.0, load[i] - engine.queries) * mean_threads_ + engine.threads;
-      if (s_.load_fields[i] == LoadField::util && threads < 0)
-        threads = load[i] * kThreadsAtFull * cores(engine);
+      if (s_.load_fields[i] == LoadField::inflight) held = load[i];
+      if (s_.load_fields[i] == LoadField::queue) waiting = load[i];  // for memory: on no core
+      if (s_.load_fields[i] == LoadField::util) util = load[i];
     }
+    const double others = std::max(0.0, held - waiting - engine.queries) * mean_threads_;
+    const double threads = held >= 0 ? others + engine.threads : util * kThreadsAtFull * cores(engine);
     if (threads >= 0) take_told(engine, threads, std::max(engine.reported, now_ - away_));
   }
 
@@ -1042,7 +1042,8 @@
       finish(requests_.at(deadlines_.begin()->second));
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch(engines_.at(id));
-    for (auto* engine : few_ ? std::vector<Engine*>() : ready_) probe(*engine, 0);
+    if (!few_ && !s_.load_in_answers)  // these bring reports, too
+      for (auto* engine : ready_) probe(*engine, 0);
     draw_turns(passed);
     tell_peers();
     if (now_ >= sampled_ + kPeriod) {
@@ -1128,8 +1129,7 @@
   unsigned widest_ = 1, peers_heard_ = 0;  // threads of a query; messages
   double rate_age_ = 0, arrival_rate_ = 0, fresh_arrivals_ = 0, probe_tokens_ = 0, tell_bytes_ = 0;
   double copy_work_ = 0;  // core-seconds that second copies may still cost
-  double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1;
-  double peer_gap_ = 0, peer_threads_ = 0;
+  double pool_ = 0, cores_ = 0, fleet_pace_ = 1, ease_ = 1, peer_gap_ = 0, peer_threads_ = 0;
   double untold_ = 0, untold_time_ = 0;  // thread-seconds run since the last message, and s
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -352,6 +352,7 @@
 TEST(Grants, EstimatesAreSetRightByWhatAnswersTell) {
   Settings s = plain_settings();
   s.grants = true;
+  s.shortage = Shortage::overcommit;
   Drive d(s);
   d.list({engine(7), engine(8)});
   double granted = 0;
@@ -377,6 +378,7 @@
 TEST(Grants, AnEstimateAfterAnswersToQueriesWithoutOneIsTakenAsItIs) {
   Settings s = plain_settings();
   s.grants = true;
+  s.shortage = Shortage::overcommit;
   Drive d(s);
   d.list({engine(7), engine(8)});
   d.ask(1, 0);
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -196,6 +196,97 @@
   EXPECT_GT(granted(2), 200);
 }
 
+// Where engines keep what is granted, used or not, a grant far over the estimate leaves others in line for
+// memory; where they count what is in use, it costs nobody anything.
+TEST(Grants, AreSmallerWhereEnginesKeepThem) {
+  for (const auto shortage : {Shortage::overcommit, Shortage::wait, Shortage::shrink}) {
+    Settings s = plain_settings();
+    s.grants = true;
+    s.shortage = shortage;
+    Drive d(s);
+    d.list({engine(7)});
+    Arrival a;
+    a.request = 1;
+    a.time_left = 5s;
+    a.memory_mb = 100;
+    double granted = 0;
+    for (const auto& action : d.at(d.now, {a}))
+      if (const auto* terms = std::get_if<Terms>(&action)) granted = terms->memory_mb;
+    EXPECT_NEAR(granted, shortage == Shortage::overcommit ? 200 : 160, 1);
+  }
+}
+
+// What waits in an engine's own line for memory holds no core: it counted as running, and engines as crowded.
+TEST(Crowd, QueriesInAnEnginesLineForMemoryAreNotTakenToRun) {
+  for (const double waiting : {0.0, 55.0}) {
+    Settings s = plain_settings();
+    s.gateways = 8;
+    s.load_fields = {LoadField::queue, LoadField::inflight};
+    Drive d(s);
+    d.list({engine(7)});
+    d.ask(1, 0);
+    Outcome o;
+    o.request = 1;
+    o.engine = 7;
+    o.closed = true;
+    o.load = {waiting, 60};
+    d.at(d.now, {o});
+    d.ask(2, 0);
+    EXPECT_EQ(d.sends_of(2), waiting > 0 ? 1 : 0);
+  }
+}
+
+// Every engine was probed three times a second for reports that its answers bring anyway.
+TEST(Probes, AreNotSentForReportsThatComeWithAnswers) {
+  for (const bool in_answers : {false, true}) {
+    Settings s = plain_settings();
+    s.may_probe = true;
+    s.load_in_answers = in_answers;
+    s.load_fields = {LoadField::inflight};
+    Drive d(s);
+    d.list({engine(7), engine(8), engine(9)});
+    std::size_t probes = 0;
+    for (RequestId id = 1; id <= 20; ++id) {
+      d.ask(id, 0);
+      for (const auto& action : d.at(d.wake, {Wake{}}))
+        probes += std::holds_alternative<Probe>(action) ? 1 : 0;
+      for (int i = 0; i < 20; ++i) d.at(d.wake, {Wake{}});
+    }
+    EXPECT_EQ(probes == 0, in_answers);
+  }
+}
+
+// Where answers do not tell their work, a long query's engine passed for slow, and a short one's for swift.
+TEST(Pace, AQuerysEstimateIsTakenOutOfItWhereAnswersTellNoWork) {
+  Settings s = plain_settings();
+  s.gateways = 20;
+  s.may_tell = true;
+  Drive d(s);
+  d.list({engine(7)});
+  unsigned least = 255, most = 0;
+  for (RequestId id = 1; id <= 200; ++id) {
+    Arrival a;
+    a.request = id;
+    a.time_left = 5s;
+    a.cost = id % 2 == 0 ? 600ms : 200ms;
+    d.at(d.now, {a});
+    d.until(d.now + 20ms);
+    if (d.sends_of(id) == 0) continue;
+    d.ends(id, 0, 7, Result::served, *a.cost);
+    for (int tick = 0; tick < 12; ++tick) {
+      for (const auto& action : d.at(d.wake, {Wake{}})) {
+        const auto* tell = std::get_if<Tell>(&action);
+        const auto text = tell == nullptr ? std::nullopt : decode(tell->bytes);
+        if (!text || text->entries.empty() || id < 100) continue;
+        least = std::min(least, text->entries[0].value);
+        most = std::max(most, text->entries[0].value);
+      }
+    }
+  }
+  ASSERT_GT(most, 0U);
+  EXPECT_LT(most, least * 3 / 2);
+}
+
 // Long classes were refused though their aim, which grows with their work, had room.
 TEST(Hold, AClassWhoseAimGrowsWithItsWorkIsHeldLonger) {
   Settings s = plain_settings();
