--- a/tests/net/shapes_test.cpp
+++ b/tests/net/shapes_test.cpp
@@ -18,6 +18,7 @@
   json member;  // of each engine in the list
   std::vector<std::string> classes;
   std::string team, answer_head;
+  friend void PrintTo(const Shape& shape, std::ostream* out) { *out << shape.name; }
 };
 
 // The second deployment: two halls, two kinds, three members, a class that must never run twice, no order, no
