Check settings by the module's own check, and tell a report of load in one place

Read again. config::parse() built a whole Gateway to learn whether settings make sense; heronwell::check(), which its constructor calls, tells the same. Two tests of reports began alike (sends_after_report() serves both; assertions as they were), and four comments had been torn from their lines.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "config/read.hpp"
+#include "state.hpp"
 #include "wire.hpp"
 
 namespace bellstair::config {
@@ -144,8 +145,7 @@
   const json& settings = object(need(all, "settings"), "settings");
   try {
     out.settings = heronwell::wire::settings_from(settings);
-    static_cast<void>(
-        heronwell::Gateway(out.settings, 0));  // what makes no sense is told before anything starts
+    heronwell::check(out.settings);  // what makes no sense is told before anything starts
   } catch (const std::exception& error) {
     throw Invalid(error.what());
   }
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -42,9 +42,8 @@
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
-  [[nodiscard]] int error() const {
-    return error_;
-  }  // errno of what broke it; 0: nothing did, or it was closed
+  // errno of what broke it; 0: nothing did, or it was closed.
+  [[nodiscard]] int error() const { return error_; }
   [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
   [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
   // For a stream at rest: true if the peer has closed it, or said something unasked.
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -107,10 +107,11 @@
 }
 
 // Every gateway without a query on a full engine still sent one; with many gateways the fleet jammed.
-TEST(Crowd, AnEngineReportedFullGetsNothing) {
+// How often a query is sent whose only engine has just told such a report.
+int sends_after_report(std::vector<LoadField> fields, std::vector<double> load) {
   Settings s = plain_settings();
   s.gateways = 8;
-  s.load_fields = {LoadField::inflight};
+  s.load_fields = std::move(fields);
   Drive d(s);
   d.list({engine(7)});
   d.ask(1, 0);
@@ -118,10 +119,14 @@
   o.request = 1;
   o.engine = 7;
   o.closed = true;
-  o.load = {60};
+  o.load = std::move(load);
   d.at(d.now, {o});
   d.ask(2, 0);
-  EXPECT_EQ(d.sends_of(2), 0);
+  return d.sends_of(2);
+}
+
+TEST(Crowd, AnEngineReportedFullGetsNothing) {
+  EXPECT_EQ(sends_after_report({LoadField::inflight}, {60}), 0);
 }
 
 // One long query, far past the usual, was taken for silence: 153 times on a day without any trouble.
@@ -218,22 +223,9 @@
 
 // What waits in an engine's own line for memory holds no core: it counted as running, and engines as crowded.
 TEST(Crowd, QueriesInAnEnginesLineForMemoryAreNotTakenToRun) {
-  for (const double waiting : {0.0, 55.0}) {
-    Settings s = plain_settings();
-    s.gateways = 8;
-    s.load_fields = {LoadField::queue, LoadField::inflight};
-    Drive d(s);
-    d.list({engine(7)});
-    d.ask(1, 0);
-    Outcome o;
-    o.request = 1;
-    o.engine = 7;
-    o.closed = true;
-    o.load = {waiting, 60};
-    d.at(d.now, {o});
-    d.ask(2, 0);
-    EXPECT_EQ(d.sends_of(2), waiting > 0 ? 1 : 0);
-  }
+  for (const double waiting : {0.0, 55.0})
+    EXPECT_EQ(sends_after_report({LoadField::queue, LoadField::inflight}, {waiting, 60}),
+              waiting > 0 ? 1 : 0);
 }
 
 // Every engine was probed three times a second for reports that its answers bring anyway.
@@ -437,8 +429,8 @@
 // Connections were reset all over the fleet, on a busy day faster than answers came: engines that ran on
 // counted as cold for 15 s each time, and half of what was asked was refused.
 TEST(Unreachable, AnEngineThatAnswersForWhatItHadBeforeABreakHasNotBegunAnew) {
-  for (const bool before :
-       {true, false}) {  // the answer is for a query from before the break, or from after it
+  // The answer is for a query from before the break, or from after it.
+  for (const bool before : {true, false}) {
     Settings s = plain_settings();
     s.gateways = 40;
     s.may_probe = true;
@@ -453,8 +445,8 @@
     if (before) send(2);
     d.ends(1, 0, 7, Result::reset);
     const auto until_break = d.sends.size();
-    for (RequestId id = 3; !before && d.sends.size() == until_break && id < 900; ++id)
-      send(id);  // for its turn
+    // Until it has a turn there.
+    for (RequestId id = 3; !before && d.sends.size() == until_break && id < 900; ++id) send(id);
     ASSERT_EQ(d.sends.size() > until_break, !before);
     const auto sent = before ? RequestId{2} : d.sends[until_break].request;
     const auto n = static_cast<AttemptIndex>(sent == 1 ? 1 : 0);
@@ -479,8 +471,8 @@
   EXPECT_EQ(start.since(), 30s);
   start.heard(33s, 25s, kSoon);  // alive since 25 s: the last break was the network's
   EXPECT_EQ(start.since(), 20s);
-  start.heard(Time(20s) + 400ms, Time(20s) + 100ms,
-              kSoon);  // a new process may answer so soon, where nobody was
+  // A new process may answer so soon, where nobody was.
+  start.heard(Time(20s) + 400ms, Time(20s) + 100ms, kSoon);
   EXPECT_EQ(start.since(), 20s);
   start.heard(35s, 5s, kSoon);
   EXPECT_EQ(start.since(), 1s);
