--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -144,6 +144,8 @@
   const json& settings = object(need(all, "settings"), "settings");
   try {
     out.settings = heronwell::wire::settings_from(settings);
+    static_cast<void>(
+        heronwell::Gateway(out.settings, 0));  // what makes no sense is told before anything starts
   } catch (const std::exception& error) {
     throw Invalid(error.what());
   }
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -34,6 +34,10 @@
   for (const auto& k : s.kinds) {
     if (!(k.cores > 0)) bad("kinds[].cores must be above 0");
   }
+  for (const auto& t : s.tenants) {
+    if (!(t.share >= 0)) bad("tenants[].portion must not be below 0");
+    if (!(t.quota_per_s >= 0)) bad("tenants[].quota-rps must not be below 0");
+  }
   if (s.retry_budget && s.retry_budget->span <= Time::zero()) bad("retry_budget.span must be above 0");
 }
 
