--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -51,9 +51,9 @@
 constexpr double kOwnPart = 0.25;     // of an engine's load as judged: own threads times gateways
 constexpr double kFarZone = 20;       // threads a core that another zone must be emptier by, for a price of 1
 constexpr double kSameAgain = 3.0;    // threads a core that others may be fuller by for another attempt
-constexpr std::size_t kHomes = 2;     // engines that all loads of one group share, at the least;
+constexpr std::size_t kHomes = 2;     // engines that are to keep a group warm, at the least;
 constexpr std::size_t kHomePart = 5;  // and one in so many of a large fleet
-constexpr double kHomeKeepOff = 6.0;  // threads a core: a reader of the group keeps off them
+constexpr double kHeldKeepOff = 6.0;  // threads a core: a reader keeps off an engine where its group is held
 constexpr std::uint8_t kFirst = 3, kUsual = 1;  // priorities of the first class in rank, and of the others:
 constexpr std::uint8_t kSmallUp = 2, kBigDown = 0;  // of their small and big queries, by these sizes
 constexpr double kSmall = 0.7, kBig = 2.5;
@@ -472,6 +472,7 @@
     engine.turn_left -= cold_work(request);
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
+    if (set.holds_group) engine.held.insert(request.asked.data_group);
     request.attempts.push_back({engine.entry.engine, engine.entry.zone, engine.entry.cell, now_, now_});
     request.held = false;
     cls.running += set.threads;
@@ -492,6 +493,7 @@
     attempt.out = false;
     attempt.result = outcome.result;
     engine.out.erase({outcome.request, outcome.attempt});
+    if (set.holds_group) engine.held.erase(request->asked.data_group);
     classes_[request->asked.cls].running -= set.threads;
     engine.threads -= set.threads;
     if (--engine.queries == 0) busy_.erase(outcome.engine);
@@ -590,11 +592,8 @@
     list_recent(engine);
   }
 
-  void learn_pace(Engine& engine, double measure) {
+  static void learn_pace(Engine& engine, double measure) {
     engine.pace += kPaceStep * (measure - engine.pace);
-    const bool slow = slowness(engine) > 1;
-    fleet_changed_ = fleet_changed_ || slow != engine.slow;
-    engine.slow = slow;
   }
 
   // Falls quickly and rises slowly, so that a jam is not soon taken for usual.
@@ -892,12 +891,17 @@
     double score = (all + set.threads) * slowness(engine) / (cores(engine) * warmth(engine, 0s));
     if (engine.entry.zone != s_.zone) score += kFarZone * s_.price_cross_zone;
     if (!readers_wait_ && home(request.asked.data_group, engine)) score -= kWarmHome;
-    if (set.waits_for_group && home(request.asked.data_group, engine)) score += kHomeKeepOff;
+    if (set.waits_for_group && held(request, engine)) score += kHeldKeepOff;
     const auto there = [&](const Attempt& a) { return a.engine == engine.entry.engine; };
     return std::ranges::any_of(request.attempts, there) ? score + kSameAgain : score;
   }
 
-  // All gateways order engines alike for a group, by ids: its loads go to the first, its readers stay away.
+  // What its own loads hold is all that a gateway knows of: others' show in how long engines take.
+  static bool held(const Request& request, const Engine& engine) {
+    return request.asked.data_group != 0 && engine.held.contains(request.asked.data_group);
+  }
+
+  // All gateways order engines alike for a group, by ids: the first keep its data warm.
   const std::vector<Engine*>& homes(std::int64_t group) {
     auto& homes = homes_[group];
     if (homes.empty()) {
@@ -905,10 +909,7 @@
         if (!rested(*engine)) homes.push_back(engine);
       }
       const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
-      // A load holds its group for as long as it runs: slow engines come last.
-      const auto order = [group](const Engine* engine) {
-        return std::pair(engine->slow, spread(group, engine->entry.engine));
-      };
+      const auto order = [group](const Engine* engine) { return spread(group, engine->entry.engine); };
       std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(count), {}, order);
       homes.resize(count);
     }
@@ -918,7 +919,6 @@
 
   // All of a small fleet; of a large one those of the newest reports and a few drawn, at a bounded cost.
   const std::vector<Engine*>& candidates(const Request& request) {
-    if (readers_wait_ && set(request).holds_group) return homes(request.asked.data_group);
     if (ready_.size() <= kLooks) return ready_;
     compared_.clear();
     ++look_;
@@ -948,7 +948,8 @@
     for (auto* engine : engines) {
       const auto there = [&](const Attempt& a) { return a.awaited() && a.engine == engine->entry.engine; };
       if (!healthy(request, *engine) || !room(*engine, request.asked.cls) || !may_send(request, *engine) ||
-          std::ranges::any_of(request.attempts, there))
+          std::ranges::any_of(request.attempts, there) ||
+          (set(request).holds_group && held(request, *engine)))
         continue;
       const double score = crowding(request, *engine) + blur * drawn();
       if (best == nullptr || score < least) std::tie(best, least) = std::tuple(engine, score);
@@ -971,6 +972,7 @@
       auto& request = requests_.at(*it);
       if (!in_turn(request)) continue;
       Engine* engine = pick(request);
+      if (engine == nullptr && set(request).holds_group) continue;  // another group's may go
       if (engine == nullptr || !transmit(request, *engine)) return false;
       cls.queue.erase(it);
       return true;
@@ -999,10 +1001,8 @@
   void sample() {
     ease();
     for (auto* engine : ready_) {
-      if (!engine->slow || now_ <= engine->heard + kSlowLook) continue;
+      if (now_ <= engine->heard + kSlowLook) continue;
       engine->pace = std::min(engine->pace, kSlow * std::max(1.0, fleet_pace_));
-      engine->slow = false;
-      fleet_changed_ = true;
     }
     const double all = pool();
     const double wanted = sum(&Class::u);
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -84,12 +84,12 @@
   bool ready = false;
   unsigned threads = 0, queries = 0;                 // of this gateway
   std::set<std::pair<RequestId, AttemptIndex>> out;  // of this gateway
+  std::set<std::int64_t> held;                       // groups that its loads hold, or wait for there
   Health health = Health::well;
   Time rest_until{}, rest{};  // rest: the last one's length; 0: none since it was well
   double errors = 0;          // share of late
   double pace = 1;            // answer time against the class's usual one, of late;
   double measure = 1;         // and of the last answer here
-  bool slow = false;          // far slower than the others
   Time heard{};
   ColdStart start;
   Time broke{};       // the last connection that broke, unless it was heard since
