Give two tests of broken connections one start, and comments back their places

Read again: both tests began alike, two comments stood above one test, one was torn by the formatter.

--- a/src/state.hpp
+++ b/src/state.hpp
@@ -62,8 +62,7 @@
     doubts_.push_back({at, refused});
   }
   // A process's last words may be read so long after it has ended, on another connection than the first that
-  // was seen to break: the network's way and a long turn of the loop. The protocol grants time limits as
-  // much.
+  // was seen to break: the network's way, and a long turn of the loop. The protocol's slack for time limits.
   static constexpr Time kOnItsWay = std::chrono::milliseconds(50);
   // It was heard of what it was sent at `sent`: the process has lived since then. So it has if a connection
   // broke less than `soon` ago, in which no process ends and begins anew.
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -297,10 +297,8 @@
   EXPECT_EQ(d.refused[2], 1);
 }
 
-// Hot groups were held on nearly every engine, and most short queries stood still behind loads.
-// They were sent where others of their group were out, by two homes or by load alone, and stood there behind
-// them for longer than they ran, as threads that crowd the fleet: Lakeshore's churn refused a tenth of its
-// loads.
+// Loads were sent where others of their group were out, and stood behind them for longer than they ran, as
+// threads that crowd the fleet: Lakeshore's churn refused a tenth of its loads.
 TEST(Loads, WaitForAnEngineWhereNoneOfTheirGroupIsOutAndHoldUpNoOtherGroup) {
   Settings s = plain_settings();
   s.classes[1].holds_group = true;
@@ -323,6 +321,7 @@
   EXPECT_EQ(d.sends.back().engine, first.engine);
 }
 
+// Hot groups were held on nearly every engine, and most short queries stood still behind loads.
 TEST(Loads, ReadersKeepOffEnginesWhereOneHoldsTheirGroup) {
   Settings s = plain_settings();
   s.classes[1].holds_group = true;
@@ -436,19 +435,28 @@
   EXPECT_TRUE(d.called_off.empty());
 }
 
+Settings probed_and_told() {
+  Settings s = plain_settings();
+  s.gateways = 40;
+  s.may_tell = s.may_probe = true;
+  s.load_fields = {LoadField::inflight};
+  return s;
+}
+
+// Its one engine was sent a query.
+void send_first(Drive& d) {
+  d.list({engine(7)});
+  d.ask(1, 0);
+  d.until(d.now + 60ms);
+  ASSERT_EQ(d.sends_of(1), 1);
+}
+
 // Answers were lost all over the fleet, with a reset each: every engine was taken to have begun anew, and
 // work came only by cold turns.
 TEST(Unreachable, AnEngineHeardSoonAfterAResetHasNotBegunAnew) {
   for (const Time answer : {5ms, 900ms}) {  // no answer for so long: the process may have ended meanwhile
-    Settings s = plain_settings();
-    s.gateways = 40;
-    s.may_probe = true;
-    s.load_fields = {LoadField::inflight};
-    Drive d(s);
-    d.list({engine(7)});
-    d.ask(1, 0);
-    d.until(d.now + 60ms);
-    ASSERT_EQ(d.sends_of(1), 1);
+    Drive d(probed_and_told());
+    ASSERT_NO_FATAL_FAILURE(send_first(d));
     Outcome o;
     o.request = 1;
     o.engine = 7;
@@ -471,15 +479,8 @@
 // Both were written before its process ended, and read after a connection of it was seen to break.
 TEST(Unreachable, AnEnginesLastWordsDoNotProveThatItHasOutlivedABreak) {
   for (const bool probe : {true, false}) {
-    Settings s = plain_settings();
-    s.gateways = 40;
-    s.may_tell = s.may_probe = true;
-    s.load_fields = {LoadField::inflight};
-    Drive d(s);
-    d.list({engine(7)});
-    d.ask(1, 0);
-    d.until(d.now + 60ms);
-    ASSERT_EQ(d.sends_of(1), 1);
+    Drive d(probed_and_told());
+    ASSERT_NO_FATAL_FAILURE(send_first(d));
     d.ends(1, 0, 7, Result::reset);
     d.until(d.now + 5ms);
     if (probe) {
