--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -126,9 +126,8 @@
   attempt.ticket = pool_.acquire(effect.engine, [this, id](Connection* connection) {
     const auto found = attempts_.find(id);
     if (connection == nullptr) return end(id, AttemptEnd::not_connected);
-    found->second.connection = connection;
     found->second.stage = Stage::ready;
-    park(id);
+    keep(id, connection);
     post_(core::AttemptReady{id});
   });
 }
@@ -224,13 +223,15 @@
   auto& attempt = attempts_.at(id);
   attempt.call = call(*attempt.connection, deletion(attempt), kAside,
                       [this, id](End how, HttpAnswer& answer, Connection* fit) {
-                        attempts_.at(id).connection = fit;
+                        keep(id, fit);
                         deleted(id, how, answer);
                       });
 }
 
-void Engines::park(AttemptId id) {
-  auto* connection = attempts_.at(id).connection;
+// The one way in which an attempt comes to hold a connection: should it break before the next call is on it,
+// the attempt must hear of that, since the pool frees it.
+void Engines::keep(AttemptId id, Connection* connection) {
+  attempts_.at(id).connection = connection;
   if (connection == nullptr) return;
   connection->lost = [this, id, connection](bool) {
     attempts_.at(id).connection = nullptr;
@@ -303,9 +304,9 @@
   if (found == attempts_.end()) return;
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
-  attempt.connection = fit;
+  keep(id, fit);
   attempt.quiet_since = std::max(attempt.quiet_since, steady_now());
-  if (attempt.stage == Stage::deleting) return park(id);  // the answer to that call ends it
+  if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
   if (attempt.stage == Stage::recalling) {
     if (how == End::answered && (answer.status == 200 || answer.status == 500))
       return end(id, AttemptEnd::withdrawn);  // it has ended
@@ -397,7 +398,7 @@
       return;
     }
     if (connection == nullptr) return let_go(id, AttemptEnd::reset);
-    found->second.connection = connection;
+    keep(id, connection);
     ask(id);
   });
 }
--- a/src/platform/engines.hpp
+++ b/src/platform/engines.hpp
@@ -76,7 +76,7 @@
   void deleted(core::AttemptId id, End how, const HttpAnswer& answer);
   void recall(core::AttemptId id);                        // tells it on the attempt's own connection
   void let_go(core::AttemptId id, core::AttemptEnd how);  // without proof that the query is over
-  void park(core::AttemptId id);                          // its connection, without a call for a while
+  void keep(core::AttemptId id, Connection* connection);  // none: it has none any more
   void take_load(const HttpAnswer& answer, std::vector<double>& load) const;
   std::string host(core::EngineId engine) const;
   std::string deletion(const Attempt& attempt) const;  // the call that gives it up
--- a/tests/net/engines_test.cpp
+++ b/tests/net/engines_test.cpp
@@ -128,6 +128,45 @@
   EXPECT_EQ(engine.calls.count(gone), 1U);
 }
 
+// The program crashed (zone+brink): an attempt that was given up before its engine's first word kept its
+// connection without a guard. The connection broke and was freed, and the attempt looked at it once its
+// DELETE, on another one, was through.
+TEST(Engines, AConnectionThatBreaksWhileItsQueryIsDeletedBesideItIsForgotten) {
+  std::promise<void> word, cut, answer;
+  Log<std::string> seen;
+  Server engine([&, may_speak = word.get_future().share(), may_break = cut.get_future().share(),
+                 may_answer = answer.get_future().share()](Socket& socket) {
+    while (true) {
+      const auto call = read_call(socket);
+      seen.add(call.method);
+      if (call.method == "POST") {
+        may_speak.wait();
+        socket.send(http(202));
+        may_break.wait();
+        socket.reset();
+        return seen.add("reset");
+      }
+      if (gone(call)) may_answer.wait();
+      socket.send(http(gone(call) ? 204 : 200, {}, "X-Meter: pending:3;x1:0.1;x0:0.1\r\n"));
+    }
+  });
+  Driven d(engine.address());
+  const auto until = [&](const char* what) {
+    while (seen.count([&](const std::string& s) { return s == what; }) == 0) d.turn();
+  };
+  d.start();
+  until("POST");
+  d.run(core::Abandon{d.id});
+  word.set_value();
+  until("DELETE");
+  cut.set_value();
+  until("reset");
+  d.run(core::ProbeEngine{7});  // what is through after the reset has been read
+  d.wait<core::ProbeEnded>();
+  answer.set_value();
+  EXPECT_EQ(d.wait<core::AttemptEnded>().end, AttemptEnd::withdrawn);
+}
+
 // A load was sent while an earlier one of its key still ran at an engine that drained: it took no connection
 // for the DELETE, which counted as done.
 TEST(Engines, AQueryAtAnEngineThatTakesNoConnectionsIsDeletedOnItsOwn) {
