Blame no engine for a late dial or want of descriptors, and let connections rest

Each such dial told its waiter that the engine takes no connections: the engine was rested, what ran there taken back, and it was taken for a cold one. Lines at fault: net/pool.cpp, dialled() and dial(). - A dial that takes a quarter of its limit has another made beside it, two at the most for a waiter, who takes the first to come up. The limit itself, and when an engine is blamed, are as they were. - A dial that does not come up while its engine is heard on other connections is made again, twice in a row. - Out of descriptors (EMFILE and the like) a dial waits and is tried again; the engine was blamed before. - Calls that nothing waits for (probes, deletions) have an end of their own while they wait for a connection. - When an engine moves, dials to its old address end, and connections there are not used again. - An HTTP connection rests for 50 ms, the protocol's slack, before it is used for another query: a second copy of an answer, some milliseconds late, would pass for that query's.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -7,9 +7,20 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Time kSweep = 1s;
-// A connection reset while it was made tells nothing of its engine, unlike one that nobody takes: so many in
-// a row are dialled again, within the waiter's time.
+// A dial that is reset tells nothing of its engine, unlike one that nobody takes; nor does one that does not
+// come up while the engine is heard on other connections. So many in a row are made again, within the
+// waiter's time.
 constexpr int kRedials = 2;
+// Of the dial limit: a dial that takes longer has another made beside it, twice at the most. Connections come
+// up in milliseconds or late, so that this costs nothing otherwise, and the waiter takes whichever is first.
+constexpr int kSlowPart = 4;
+constexpr std::size_t kMostSlow = 2;  // for each waiter
+// Without a descriptor, dials are tried again after so long, should nothing of this pool's be closed.
+constexpr Time kStarved = 100ms;
+
+bool out_of_descriptors(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM || error == EADDRNOTAVAIL;
+}
 }  // namespace
 
 Pool::Pool(ev::loop_ref loop, Limits limits, Greeter greeter)
@@ -17,9 +28,16 @@
 
 void Pool::place(std::uint32_t id, const std::string& address) {
   auto& engine = engines_[id];
-  // Idle connections to an address that it has left may lead to another engine by now.
+  // Connections to an address that it has left may lead to another engine by now.
   if (engine.address != address) {
     while (!engine.idle.empty()) remove(*engine.idle.front());
+    std::vector<Connection*> dials;
+    for (const auto& [serial, connection] : connections_) {
+      if (connection->engine != id) continue;
+      connection->outdated = true;
+      if (!connection->ready) dials.push_back(connection.get());
+    }
+    for (auto* connection : dials) remove(*connection);
   }
   engine.address = address;
   engine.usable = true;
@@ -32,8 +50,8 @@
   stirred_.push_back(id);
 }
 
-std::uint64_t Pool::acquire(std::uint32_t id, Taker taker) {
-  engines_[id].waiting.push_back({++tickets_, std::move(taker)});
+std::uint64_t Pool::acquire(std::uint32_t id, Taker taker, Time patience) {
+  engines_[id].waiting.push_back({++tickets_, std::move(taker), patience, {}});
   stirred_.push_back(id);
   return tickets_;
 }
@@ -46,7 +64,8 @@
   connection.data = nullptr;
   connection.lost = nullptr;
   auto& engine = engines_[connection.engine];
-  if (!connection.stream.open() || (!engine.usable && engine.waiting.empty())) return remove(connection);
+  if (!connection.stream.open() || connection.outdated || (!engine.usable && engine.waiting.empty()))
+    return remove(connection);
   connection.idle = true;
   connection.since = now_;
   engine.idle.push_back(&connection);
@@ -62,13 +81,17 @@
   auto& engine = engines_[connection.engine];
   if (connection.idle) std::erase(engine.idle, &connection);
   if (!connection.ready) --engine.dialling;
+  if (!connection.ready && connection.slow) --engine.slow;
   connection.stream.close();
   const auto found = connections_.find(connection.serial);
   gone_.push_back(std::move(found->second));
   connections_.erase(found);
   stirred_.push_back(connection.engine);
-  if (!starved_) return;
-  starved_ = false;
+  feed_starved();
+}
+
+void Pool::feed_starved() {
+  if (!std::exchange(starved_, false)) return;
   for (const auto& [id, other] : engines_) {
     if (!other.waiting.empty()) stirred_.push_back(id);
   }
@@ -88,6 +111,11 @@
 void Pool::dial(std::uint32_t id, Engine& engine) {
   const auto address = parse_address(engine.address);
   auto fd = address ? begin_connect(*address) : Fd();
+  if (!fd && address && out_of_descriptors(errno)) {
+    starved_ = true;  // the engine has no part in that
+    starved_since_ = now_;
+    return;
+  }
   if (!fd) {
     ++engine.failures;
     return;
@@ -97,9 +125,11 @@
   auto& connection = *made;
   connection.serial = serial;
   connection.engine = id;
+  connection.since = now_;
+  connection.beside = engine.slow > 0;
   connections_.emplace(serial, std::move(made));
   ++engine.dialling;
-  dials_.arm(now_ + limits_.dial_timeout, serial);
+  dials_.arm(now_ + limits_.dial_timeout / kSlowPart, serial);
   connection.stream.handle({
       .connected =
           [this, &connection] {
@@ -108,6 +138,7 @@
           },
       .data =
           [this, &connection](std::string_view bytes) {
+            engines_[connection.engine].heard = now_;
             if (!connection.data) return lose(connection, false);  // nobody asked
             const auto data = connection.data;                     // it may be replaced from within
             data(bytes);
@@ -137,24 +168,32 @@
   auto& engine = engines_[connection.engine];
   if (!well) {
     // A waiter that is left has the next settle() dial again.
-    const bool again = connection.stream.error() == ECONNRESET && ++engine.resets <= kRedials;
-    if (!again) {
+    const int error = connection.stream.error();
+    const bool blameless = error == ECONNRESET || (error == 0 && engine.heard > connection.since);
+    const bool second = connection.beside && error == 0;  // the first one's end tells
+    if (!second && !(blameless && ++engine.again <= kRedials)) {
       ++engine.failures;
-      engine.resets = 0;
+      engine.again = 0;
     }
     return remove(connection);
   }
   connection.ready = true;
-  engine.resets = 0;
+  engine.heard = now_;
+  engine.again = 0;
   --engine.dialling;
+  if (connection.slow) --engine.slow;
   release(connection);
 }
 
 void Pool::hand_out(std::uint32_t id, Engine& engine) {
   while (!engine.waiting.empty()) {
-    if (!engine.idle.empty()) {
-      auto* connection = engine.idle.back();
-      engine.idle.pop_back();
+    // The one used last that has rested, so that the others may be let go.
+    const auto rested = std::ranges::find_if(engine.idle.rbegin(), engine.idle.rend(), [this](const auto* c) {
+      return !c->used || c->since + limits_.rest <= now_;
+    });
+    if (rested != engine.idle.rend()) {
+      auto* connection = *rested;
+      engine.idle.erase(std::next(rested).base());
       connection->idle = false;
       // The engine may have closed it while it lay idle, and the loop not have come to that yet.
       if (connection->stream.stale()) {
@@ -163,6 +202,7 @@
       }
       auto waiter = std::move(engine.waiting.front());
       engine.waiting.pop_front();
+      connection->used = true;
       waiter.taker(connection);
       continue;
     }
@@ -173,12 +213,15 @@
       waiter.taker(nullptr);
       continue;
     }
-    if (engine.dialling >= engine.waiting.size()) return;
+    const auto slow = std::min(engine.slow, kMostSlow * engine.waiting.size());
+    if (engine.dialling - slow >= engine.waiting.size()) return;
     if (!make_room()) {
       starved_ = true;
+      starved_since_ = now_;
       return;
     }
     dial(id, engine);
+    if (starved_) return;
   }
   engine.failures = 0;
 }
@@ -195,13 +238,29 @@
   now_ = now;
   dials_.advance(now, [this](std::uint64_t serial) {
     const auto found = connections_.find(serial);
-    if (found != connections_.end() && !found->second->ready) dialled(*found->second, false);
+    if (found == connections_.end() || found->second->ready) return;
+    auto& connection = *found->second;
+    if (now_ >= connection.since + limits_.dial_timeout) return dialled(connection, false);
+    connection.slow = true;
+    ++engines_[connection.engine].slow;
+    stirred_.push_back(connection.engine);
+    dials_.arm(connection.since + limits_.dial_timeout, serial);
   });
+  if (starved_ && now >= starved_since_ + kStarved) feed_starved();
   if (now < swept_ + kSweep) return;
   swept_ = now;
   for (auto& [id, engine] : engines_) {
     while (!engine.idle.empty() && engine.idle.front()->since + limits_.idle_life <= now)
       remove(*engine.idle.front());
+    std::vector<Taker> late;
+    std::erase_if(engine.waiting, [&](Waiter& waiter) {
+      if (waiter.patience == Time::max()) return false;
+      if (!waiter.until) waiter.until = now + waiter.patience;
+      if (*waiter.until > now) return false;
+      late.push_back(std::move(waiter.taker));
+      return true;
+    });
+    for (const auto& taker : late) taker(nullptr);
   }
   // Engines come with new ids for ever.
   std::erase_if(engines_, [](const auto& entry) {
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -30,7 +31,11 @@
     std::uint32_t engine = 0;
     Stream stream;
     bool idle = false, ready = false;  // ready: dialled, and greeted where the protocol asks for that
-    Time since{};
+    bool slow = false;                 // the dial takes long, and another one was made beside it
+    bool beside = false;               // it is that other one
+    bool used = false;                 // by a call
+    bool outdated = false;             // the engine has left the address that this leads to
+    Time since{};                      // it was dialled, or came to rest
     std::unique_ptr<Session> session;
     std::function<void(std::string_view)> data;  // of the call that has it
     std::function<void(bool clean)> lost;        // clean: its peer ended it in good form
@@ -46,6 +51,7 @@
     std::size_t most = 512;  // connections, to all engines together
     std::size_t most_unwritten = std::size_t{4} << 20;
     Time dial_timeout{}, idle_life{};
+    Time rest{};  // after a call, before the next one on the same connection
   };
 
   Pool(ev::loop_ref loop, Limits limits, Greeter greeter = {});
@@ -53,8 +59,9 @@
   void place(std::uint32_t engine, const std::string& address);  // where it listens now
   void retire(std::uint32_t engine);                             // drop its idle connections; no new ones
 
-  // The taker is called later, never from within. 0 is no ticket.
-  std::uint64_t acquire(std::uint32_t engine, Taker taker);
+  // The taker is called later, never from within: with none after `patience`, two seconds later at the most.
+  // 0 is no ticket.
+  std::uint64_t acquire(std::uint32_t engine, Taker taker, Time patience = Time::max());
   void withdraw(std::uint32_t engine, std::uint64_t ticket);  // the taker is not called any more
   void release(Connection& connection);                       // fit for another call
   void discard(Connection& connection);
@@ -68,6 +75,8 @@
   struct Waiter {
     std::uint64_t ticket = 0;
     Taker taker;
+    Time patience{};
+    std::optional<Time> until;  // by the clock of ticks, from the first look at it on
   };
   struct Engine {
     std::string address;
@@ -75,8 +84,10 @@
     std::deque<Connection*> idle;  // the one used last at the back
     std::deque<Waiter> waiting;
     std::size_t dialling = 0;
+    std::size_t slow = 0;      // of these
     std::size_t failures = 0;  // dials that failed, not yet told to a waiter
-    int resets = 0;            // dials in a row that were reset
+    int again = 0;             // dials in a row that failed and told nothing of the engine
+    Time heard{};              // the last dial that came up, or byte that came
   };
 
   void dial(std::uint32_t id, Engine& engine);
@@ -85,6 +96,7 @@
   void hand_out(std::uint32_t id, Engine& engine);
   bool make_room();
   void remove(Connection& connection);
+  void feed_starved();
 
   ev::loop_ref loop_;
   Limits limits_;
@@ -96,7 +108,7 @@
   std::vector<std::uint32_t> stirred_;  // engines for which something may go on
   std::uint64_t serial_ = 0, tickets_ = 0;
   bool starved_ = false;  // a dial waits for a descriptor
-  Time now_{}, swept_{};
+  Time now_{}, swept_{}, starved_since_{};
 };
 
 }  // namespace bellstair::net
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -19,6 +19,10 @@
 // hears nothing for so long is made again on another connection while there is time.
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
+// A second copy of an answer may come some milliseconds after the first, and would pass for the answer to
+// another query's call: so long nothing else is asked on the connection. The protocol's slack for time
+// limits.
+constexpr core::Time kRest = 50ms;
 constexpr int kReconnects = 2;
 constexpr int kProbeAgain = 1;  // times that a probe whose connection broke is made again
 // A query that nobody asks for runs on for 2 s (PROTOCOL), and counts as asked for while its engine holds the
@@ -50,7 +54,7 @@
 
 Engines::Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
                  std::vector<std::string> load_fields, net::Post post)
-    : pool_(loop, limits),
+    : pool_(loop, (limits.rest = kRest, limits)),
       transit_(limits.dial_timeout),
       class_names_(std::move(class_names)),
       load_fields_(std::move(load_fields)),
@@ -100,14 +104,17 @@
 }
 
 void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Heard heard) {
-  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, heard = std::move(heard)](Connection* c) {
-    HttpAnswer none;
-    if (c == nullptr) return heard(End::not_connected, none);
-    call(*c, bytes, patience, [this, heard](End end, HttpAnswer& answer, Connection* fit) {
-      if (fit != nullptr) pool_.release(*fit);
-      heard(end, answer);
-    });
-  });
+  pool_.acquire(
+      engine,
+      [this, bytes = std::move(bytes), patience, heard = std::move(heard)](Connection* c) {
+        HttpAnswer none;
+        if (c == nullptr) return heard(End::not_connected, none);
+        call(*c, bytes, patience, [this, heard](End end, HttpAnswer& answer, Connection* fit) {
+          if (fit != nullptr) pool_.release(*fit);
+          heard(end, answer);
+        });
+      },
+      patience);
 }
 
 void Engines::tick(core::Time now) {
