End what clients leave in one way: half-closes, lingering closes, stops, a steady clock

Now what has no attempt out is refused at once, what runs is the last attempt and its answer is written, and a reset gives it up. The MySQL front cancelled all instead; it does the same now. - Fronts closed in four ways, three of them over unread input, which resets the connection and may take an answer with it. net::Lingerer is the one way for time-outs, useless lines, eviction and the program's end. - make_room() closed connections with a request in their socket; it looks first. A client without room was closed without a word; it is told. - A request read while the program stops was taken, sent on and lost at exit; it is refused. Clients at rest read an end, not a reset. What is left is given up 0.4 s before the kill, which follows the settings' longest deadline; 3.3 s was a constant. - Alarms and spans ran on the Unix clock, which stood still when it was set back and fired all when it was set ahead. The core and all ticks run on the steady clock; started_ms is read against the Unix clock once. - The reducer checks where the first byte leaves that a repeat may still go: a connection may take longer than the rest of a key's window. - A change log that is silent or trickles put readiness off by up to 6.3 s; a broker that was restarted serves on what it was told after 2 s and the call that is out. - One read a turn hid the end behind a flood; four buffers are read.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -79,6 +79,7 @@
       fronts_file_(std::move(fronts_file)),
       config_(std::move(config)),
       fronts_(std::move(fronts)),
+      origin_(unix_now() - monotonic_now()),
       reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4, loaded.set),
       runner_(loop, words_of(config_), poster()),
       engines_(make_engines()),
@@ -112,7 +113,10 @@
                                             *fronts_.mysql, config_.names, config_.settings,
                                             std::move(options), handles_, config_.seed, poster());
   }
-  for (auto& change : config_.known.changes) post(std::move(change));
+  for (auto& change : config_.known.changes) {
+    change.unix_now = unix_now();
+    post(std::move(change));
+  }
   post(core::Listening{});
 
   tick_.set<Broker, &Broker::on_tick>(this);
@@ -140,8 +144,11 @@
   loop_.run(0);
 }
 
+// All spans run on it: a step of the system's clock must move none of them.
+core::Time Broker::now() const { return origin_ + monotonic_now(); }
+
 void Broker::on_tick(ev::timer&, int) {
-  const auto now = unix_now();
+  const auto now = this->now();
   engines_->tick(now);
   front_->tick(now);
   if (mysql_) mysql_->tick(now);
@@ -182,11 +189,10 @@
     longest_hooks_ = std::max(longest_hooks_, turn_hooks_);
   }
   // What hooks have still to do waits for the next turn, after the sockets.
-  if (const auto go_on = reducer_.hooks_due())
-    hooks_turn_.start(std::max(0.0, seconds(*go_on - unix_now())), 0);
+  if (const auto go_on = reducer_.hooks_due()) hooks_turn_.start(std::max(0.0, seconds(*go_on - now())), 0);
   const auto due = reducer_.next_call();
   if (!due) return;
-  call_.start(std::max(0.0, seconds(*due - unix_now())) + 1e-5, 0);
+  call_.start(std::max(0.0, seconds(*due - now())) + 1e-5, 0);
 }
 
 void Broker::pump() {
@@ -194,7 +200,7 @@
     auto event = std::move(events_.front());
     events_.pop_front();
     effects_.clear();
-    reducer_.reduce(unix_now(), std::move(event), effects_);
+    reducer_.reduce(now(), std::move(event), effects_);
     for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
   }
 }
@@ -247,6 +253,11 @@
   runner_.later(read_again);
 }
 
+void Broker::run(const core::CloseFronts&) {
+  front_->finish();
+  if (mysql_) mysql_->finish();
+}
+
 void Broker::run(const core::Exit&) {
   if (longest_turn_ != core::Time::zero()) {
     const auto ms = [](core::Time time) { return std::to_string(seconds(time) * 1e3); };
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -44,6 +44,7 @@
   void on_hooks(ev::timer& timer, int events);
   void on_check(ev::check& check, int events);
   void pump();
+  [[nodiscard]] core::Time now() const;
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
   [[nodiscard]] bool unwritten() const;
@@ -63,12 +64,14 @@
   void run(const core::DropHook& effect) { runner_.run(effect); }
   void run(const core::RenewHook& effect) { runner_.run(effect); }
   void run(const core::RetireHook& effect) { runner_.run(effect); }
+  void run(const core::CloseFronts&);
   void run(const core::Exit&);
 
   ev::loop_ref loop_;
   std::string file_, fronts_file_;
   config::Config config_;
   config::Fronts fronts_;
+  core::Time origin_;  // from the steady clock to the core's, which began at the Unix time of the start
   std::uint64_t handles_ = 0;
   std::deque<core::Event> events_;
   core::Effects effects_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -59,7 +59,7 @@
   if (const auto weight = in.find("weight"); weight != in.end() && weight->is_number())
     out.entry.weight = weight->get<double>();
   if (const auto started = in.find("started_ms"); started != in.end() && started->is_number())
-    out.entry.last_start = std::chrono::milliseconds(started->get<std::int64_t>());
+    out.started = std::chrono::milliseconds(started->get<std::int64_t>());
   return out;
 }
 
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -48,8 +48,9 @@
 };
 
 struct Member {
-  heronwell::EngineEntry entry;
+  heronwell::EngineEntry entry;  // its last_start on the core's clock, which sets it
   std::string address;
+  Time started{};  // Unix time of a late start, as told; 0: long ago
 };
 
 enum class AttemptEnd {
@@ -69,6 +70,7 @@
   bool full = false;
   std::vector<Member> members;
   bool live = false;  // from the change log itself, not from what was known at the start
+  Time unix_now{};    // when it was told; what it tells in Unix time is read against this
 };
 struct FleetQuiet {};  // the change log has nothing newer, or cannot be asked
 struct Arrived {
@@ -77,6 +79,9 @@
 struct Cancelled {  // the client has stopped waiting
   Client client = 0;
 };
+struct HalfClosed {  // the client writes no more, and may be gone: nothing further is sent on for it
+  Client client = 0;
+};
 struct AttemptReady {  // a connection is free for it; nothing has been written
   AttemptId id;
 };
@@ -118,12 +123,12 @@
 };
 struct HooksTurn {};  // a turn of the loop in which calls that wait may go on
 struct Tick {
-  bool unwritten = false;  // a front or engine driver still has something to write
+  bool unwritten = false;  // a front still has something to write, or a connection to close
 };
 
-using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, AttemptReady, AttemptHeard,
-                           AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead,
-                           HookRan, HookRenewed, HooksTurn, Tick>;
+using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, HalfClosed, AttemptReady,
+                           AttemptHeard, AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked,
+                           ConfigurationRead, HookRan, HookRenewed, HooksTurn, Tick>;
 
 // ---- effects
 
@@ -178,11 +183,12 @@
 using DropHook = hooks::Drop;
 using RenewHook = hooks::Renew;  // then report HookRenewed
 using RetireHook = hooks::Retire;
+struct CloseFronts {};  // each client's connection, once nothing on it is owed
 struct Exit {};
 
-using Effect =
-    std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers, EngineMoved,
-                 Log, ReadConfiguration, FollowChangeLog, RunHook, DropHook, RenewHook, RetireHook, Exit>;
+using Effect = std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers,
+                            EngineMoved, Log, ReadConfiguration, FollowChangeLog, RunHook, DropHook,
+                            RenewHook, RetireHook, CloseFronts, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace bellstair::core
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -1,6 +1,7 @@
 // The phases of the program, from start to exit.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 
 namespace bellstair::core {
@@ -32,12 +33,18 @@
  public:
   // After the request to stop, connections and requests go on coming for 0.7 s at the most.
   static constexpr Time kLinger = std::chrono::milliseconds(800);
-  // The platform kills the program 3.7 s after the request to stop at the earliest. What is not answered by
-  // then is given up in time for clients to hear of it, and to ask elsewhere.
-  static constexpr Time kMostDrain = std::chrono::milliseconds(3300);
+  // The platform kills the program no sooner than the longest deadline, counted as 3 s at the most, and 0.7 s
+  // after the request to stop. What is not answered by then is given up so long before that clients hear of
+  // it, and ask elsewhere.
+  static constexpr Time kMostDeadline = std::chrono::seconds(3);
+  static constexpr Time kKill = std::chrono::milliseconds(700), kBeforeKill = std::chrono::milliseconds(400);
   // What is left to write, and what engines still have to be told, gets this long.
   static constexpr Time kFlush = std::chrono::milliseconds(300);
 
+  // `deadline`: the longest of all classes.
+  explicit Lifecycle(Time deadline = kMostDeadline)
+      : most_drain_(std::max(std::min(deadline, kMostDeadline) + kKill - kBeforeKill, kLinger)) {}
+
   void listening() { listening_ = true; }
   void fleet_known() { fleet_known_ = true; }
   void stop(Time now) {
@@ -59,14 +66,14 @@
 
   [[nodiscard]] Phase phase() const { return phase_; }
   [[nodiscard]] bool overdue(Time now) const {
-    return phase_ == Phase::draining && now >= since_ + kMostDrain;
+    return phase_ == Phase::draining && now >= since_ + most_drain_;
   }
   [[nodiscard]] bool green() const { return phase_ == Phase::serving; }
 
  private:
   Phase phase_ = Phase::starting;
   bool listening_ = false, fleet_known_ = false;
-  Time since_{};
+  Time most_drain_, since_{};
 };
 
 }  // namespace bellstair::core
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -31,6 +31,17 @@
   return out;
 }
 
+Time longest_deadline(const heronwell::Settings& settings) {
+  Time out{};
+  for (const auto& cls : settings.classes) out = std::max(out, cls.give_up);
+  return out;
+}
+
+// The result proves that the attempt never ran.
+bool never_ran(Result result) {
+  return result == Result::turned_away || result == Result::not_connected || result == Result::moot;
+}
+
 Result result_of(AttemptEnd end, bool timed_out) {
   switch (end) {
     case AttemptEnd::served:
@@ -55,11 +66,12 @@
 Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes, hooks::Set hooks)
     : settings_(settings),
       gateway_(std::move(settings), seed),
+      lifecycle_(longest_deadline(settings_)),
       hooks_(std::move(hooks)),
       most_bytes_(most_bytes) {}
 
 void Reducer::reduce(Time now, Event event, Effects& out) {
-  now_ = std::max(now_, now);
+  now_ = now;
   out_ = &out;
   std::visit([this](auto& e) { on(e); }, event);
   settle_hooks();
@@ -118,6 +130,7 @@
     });
   }
   for (auto& member : change.members) {
+    member.entry.last_start = start_of(member, change.unix_now);
     listing.engines.push_back(member.entry);
     const auto state = member.entry.state;
     put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
@@ -145,6 +158,16 @@
   if (change.live) on(FleetQuiet{});
 }
 
+// Read against the Unix clock when it is first told, and kept: after a step of that clock the same start,
+// told again, must not look like another.
+Time Reducer::start_of(const Member& member, Time unix_now) const {
+  if (member.started == Time::zero()) return {};
+  const auto known = members_.find(member.entry.engine);
+  if (known != members_.end() && known->second.started == member.started)
+    return known->second.entry.last_start;
+  return std::max(Time(1), now_ - (unix_now - member.started));
+}
+
 void Reducer::on(const FleetQuiet&) {
   const auto ready = [](const auto& m) { return m.second.entry.state == EngineState::ready; };
   if (std::ranges::any_of(members_, ready)) lifecycle_.fleet_known();
@@ -153,7 +176,9 @@
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
   const auto bytes = weight(asked);
-  if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_) {
+  // One that is read while the program ends is not begun any more: it could not be finished.
+  if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_ ||
+      lifecycle_.phase() >= Phase::stopping) {
     return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
   }
   // Engines know a query by its ticket: another under the same would get the first one's answer.
@@ -313,9 +338,49 @@
   --owed_;
   if (request.place == Place::module) news_.push_back(heronwell::ClientLeft{id});
   step_out(id, request);
+  withdraw_unsent(id, request);
   forget_if_done(id);
 }
 
+// A half-close can't be told from a close. What is out may run on, and its answer is written; what is not has
+// its answer now, and nothing begins for it any more.
+void Reducer::on(const HalfClosed& half) {
+  const auto found = by_client_.find(half.client);
+  if (found == by_client_.end()) return;
+  const auto id = found->second;
+  auto& request = requests_.at(id);
+  request.half_closed = true;
+  withdraw_unsent(id, request);
+  const auto out = [](const Attempt& attempt) { return attempt.stage == Stage::out; };
+  if (std::ranges::none_of(request.attempts, out)) give_up(id, request);
+}
+
+// Attempts that wait for a connection: nothing of them has left.
+void Reducer::withdraw_unsent(RequestId id, Request& request) {
+  for (std::size_t n = 0; n < request.attempts.size(); ++n) {
+    if (request.attempts[n].stage == Stage::waiting)
+      abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
+  }
+}
+
+// Whether a refusal is true: that trying again is harmless.
+bool Reducer::may_refuse(const Request& request) const {
+  const auto& set = settings_.classes[request.asked.cls];
+  if (set.effect == heronwell::Effect::safe) return true;
+  if (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all) return true;
+  return std::ranges::none_of(request.attempts, [](const Attempt& a) { return a.may_run_since.has_value(); });
+}
+
+// The rules on repeats once more, where the first byte leaves: an attempt may have waited for its connection.
+bool Reducer::may_begin(const Request& request) const {
+  const auto& set = settings_.classes[request.asked.cls];
+  if (set.effect == heronwell::Effect::safe) return true;
+  return std::ranges::all_of(request.attempts, [&](const Attempt& earlier) {
+    if (!earlier.may_run_since) return true;
+    return set.effect == heronwell::Effect::keyed && now_ + kTick < *earlier.may_run_since + set.window;
+  });
+}
+
 // The engine's state is looked at once more here: the list may have changed while a connection was made.
 void Reducer::on(const AttemptReady& ready) {
   auto* attempt = find(ready.id);
@@ -323,9 +388,10 @@
   const auto& request = requests_.at(ready.id.request);
   const auto member = members_.find(attempt->engine);
   const bool usable = member != members_.end() && member->second.entry.state == EngineState::ready;
-  if (!usable || request.answered || now_ >= attempt->until)
+  if (!usable || request.answered || now_ >= attempt->until || !may_begin(request))
     return abandon(ready.id, *attempt, usable && !request.answered);
   attempt->stage = Stage::out;
+  attempt->may_run_since = now_;
   attempt->priority = request.priority;
   const auto& asked = request.asked;
   put(Transmit{ready.id, asked.cls, attempt->until - now_, request.memory_mb, request.priority, asked.ticket,
@@ -352,6 +418,7 @@
 void Reducer::conclude(AttemptId id, Request& request, Result result, AttemptEnded* told) {
   auto& attempt = request.attempts[id.index];
   attempt.stage = Stage::over;
+  if (never_ran(result)) attempt.may_run_since.reset();
   heronwell::Outcome outcome;
   outcome.request = id.request;
   outcome.attempt = id.index;
@@ -368,6 +435,9 @@
              std::move(told->shape));
     if (result != Result::served && !told->body.empty()) request.last_word = std::move(told->body);
   }
+  const auto out = [](const Attempt& other) { return other.stage == Stage::out; };
+  if (request.half_closed && !request.answered && std::ranges::none_of(request.attempts, out))
+    answer_unserved(id.request, request);
   outcome.closed = request.answered;
   news_.push_back(std::move(outcome));
   forget_if_done(id.request);
@@ -422,30 +492,33 @@
   // What stays in the table without an answer owed waits for engines to hear that it was given up.
   if (!lifecycle_.advance(now_, owed_ > 0, tick.unwritten || !requests_.empty())) return;
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
+  if (lifecycle_.phase() == Phase::stopping) put(CloseFronts{});
   if (lifecycle_.phase() == Phase::exited) put(Exit{});
 }
 
-// The program ends before these could: better a refusal now than none at all. Where a repeat may do harm,
-// they have failed.
+// The program ends before these could: better a refusal now than none at all.
 void Reducer::give_up_all() {
   std::vector<RequestId> open;
   for (const auto& [id, request] : requests_) {
     if (!request.answered) open.push_back(id);
   }
-  for (const auto id : open) {
-    auto& request = requests_.at(id);
-    const auto& set = settings_.classes[request.asked.cls];
-    const bool harmless =
-        request.attempts.empty() || set.effect == heronwell::Effect::safe ||
-        (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all);
-    const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
-    if (request.place == Place::module) news_.push_back(heronwell::ClientLeft{id});
-    harmless ? answer(id, request, AnswerKind::refused, pause, {})
-             : answer(id, request, AnswerKind::failed, {}, {});
-    for (std::size_t n = 0; n < request.attempts.size(); ++n)
-      abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
-    forget_if_done(id);
-  }
+  for (const auto id : open) give_up(id, requests_.at(id));
+}
+
+// One request, at once and whole: its answer, its attempts, its place with the module.
+void Reducer::give_up(RequestId id, Request& request) {
+  if (request.place == Place::module) news_.push_back(heronwell::ClientLeft{id});
+  answer_unserved(id, request);
+  for (std::size_t n = 0; n < request.attempts.size(); ++n)
+    abandon({id, static_cast<AttemptIndex>(n)}, request.attempts[n], false);
+  forget_if_done(id);
+}
+
+// Refused, where trying again is harmless; else it has failed.
+void Reducer::answer_unserved(RequestId id, Request& request) {
+  const Time pause = settings_.retry_after ? settings_.max_retry_after : Time::zero();
+  may_refuse(request) ? answer(id, request, AnswerKind::refused, pause, {})
+                      : answer(id, request, AnswerKind::failed, {}, {});
 }
 
 void Reducer::on(const Alarm& alarm) {
@@ -477,7 +550,8 @@
   attempt.begun = now_;
   attempt.until = std::min(send.until == Time::zero() ? request->deadline : send.until, request->deadline);
   request->attempts.push_back(attempt);
-  if (request->answered || attempt.until <= now_) return conclude(id, *request, Result::moot, nullptr);
+  if (request->answered || request->half_closed || attempt.until <= now_)
+    return conclude(id, *request, Result::moot, nullptr);
   wheel_.arm(attempt.until, {Alarm::Kind::attempt, id});
   put(StartAttempt{id, send.engine});
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -26,7 +26,8 @@
   Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20,
           hooks::Set hooks = {});
 
-  // `now` is Unix time; should the system's clock step back, time stands still here instead.
+  // `now`: a steady clock, of any beginning. Alarms and spans run on it alone, so that a step of the system's
+  // clock neither fires nor freezes them.
   void reduce(Time now, Event event, Effects& out);
 
   [[nodiscard]] const Lifecycle& lifecycle() const { return lifecycle_; }
@@ -44,6 +45,7 @@
     EngineId engine = 0;
     Stage stage = Stage::waiting;
     Time begun{}, until{};
+    std::optional<Time> may_run_since;  // its first byte may have left then; none: it never ran
     bool timed_out = false;
     std::uint8_t priority = 1;
   };
@@ -56,6 +58,7 @@
     std::vector<std::string> tags;
     Time since{}, deadline{};
     bool answered = false;
+    bool half_closed = false;  // by its client: it gets no further attempt
     double memory_mb = 0;
     std::uint8_t priority = 1;
     std::vector<Attempt> attempts;
@@ -71,6 +74,7 @@
   void on(const FleetQuiet&);
   void on(Arrived& arrived);
   void on(const Cancelled& cancelled);
+  void on(const HalfClosed& half);
   void on(const AttemptReady& ready);
   void on(const AttemptHeard& heard);
   void on(AttemptEnded& ended);
@@ -105,6 +109,12 @@
   void tell_end(const Request& request, AnswerKind kind, Time pause);
   [[nodiscard]] bool in_line(const Submission& asked) const;
   void give_up_all();
+  void give_up(RequestId id, Request& request);
+  void answer_unserved(RequestId id, Request& request);
+  void withdraw_unsent(RequestId id, Request& request);
+  [[nodiscard]] bool may_refuse(const Request& request) const;
+  [[nodiscard]] bool may_begin(const Request& request) const;
+  [[nodiscard]] Time start_of(const Member& member, Time unix_now) const;
   void answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
               std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
--- a/src/mysql/engines.cpp
+++ b/src/mysql/engines.cpp
@@ -17,7 +17,7 @@
 constexpr std::uint32_t kWanted = kLongPassword | kProtocol41 | kTransactions | kSecureConnection |
                                   kPluginAuth | kLenencAuth | kQueryAttributes;
 // Errors that say that the engine takes no work now; before an execute they prove that nothing ran.
-constexpr std::uint16_t kTooManyConnections = 1040, kShuttingDown = 1053, kTooManyOfUser = 1203;
+constexpr std::uint16_t kShuttingDown = 1053, kTooManyOfUser = 1203;
 
 std::string answer_for(const std::string& plugin, const std::string& password, const std::string& nonce) {
   return plugin == kCachingSha2 ? sha2_answer(password, nonce) : native_answer(password, nonce);
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -50,10 +50,16 @@
       handles_(handles),
       tickets_(seed),
       post_(std::move(post)),
-      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
+      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }),
+      lingerer_(loop) {}
 
 void Front::accept(net::Fd fd) {
-  if (connections_.size() >= options_.most_connections) return;
+  if (connections_.size() >= options_.most_connections) {
+    net::Stream turned_away(loop_, std::move(fd), false, kMostUnwritten);
+    turned_away.write(frame(0, write_error({kTooManyConnections, "08004", "too many connections"})));
+    lingerer_.take(turned_away);
+    return trim();
+  }
   auto made = std::make_unique<Connection>(loop_, std::move(fd));
   auto& connection = *made;
   connection.serial = ++serial_;
@@ -67,11 +73,18 @@
             if (connection.reader.buffered() > kMostBuffered) connection.stream.pause(true);
             take(connection);
           },
-      .ended = [this, &connection] { close(connection); },
+      .ended =
+          [this, &connection] {
+            // It may only have closed its side, or have gone: what runs has its answer written, but nothing
+            // more is begun.
+            connection.ended = true;
+            if (connection.phase == Phase::running) return post_(core::HalfClosed{connection.client});
+            if (connection.stream.unwritten() == 0) close(connection);
+          },
       .closed = [this, &connection] { close(connection); },
       .drained =
           [this, &connection] {
-            if (connection.closing) close(connection);
+            if (connection.ended && connection.phase != Phase::running) close(connection);
           },
   });
   logins_.arm(now_ + kLoginTime, connection.serial);
@@ -82,9 +95,17 @@
 
 void Front::tick(core::Time now) {
   now_ = now;
+  lingerer_.tick(now);
+  // A client that has gone after its half-close is no longer heard.
+  std::vector<Connection*> left;
+  for (const auto& [client, serial] : running_) {
+    auto& connection = *connections_.at(serial);
+    if (connection.ended && connection.stream.reset()) left.push_back(&connection);
+  }
+  for (auto* connection : left) close(*connection);
   logins_.advance(now, [this](std::uint64_t serial) {
     const auto found = connections_.find(serial);
-    if (found != connections_.end() && found->second->phase < Phase::idle) close(*found->second);
+    if (found != connections_.end() && found->second->phase < Phase::idle) finish(*found->second);
   });
 }
 
@@ -274,7 +295,13 @@
   } else {
     send_error(connection, error_of(answer));
   }
-  take(connection);
+  if (connection.ended && connection.stream.unwritten() == 0) {
+    close(connection);
+  } else if (!connection.ended && (connection.closing || finishing_)) {
+    finish(connection);
+  } else if (!connection.ended) {
+    take(connection);
+  }
   return true;
 }
 
@@ -315,7 +342,32 @@
 void Front::refuse(Connection& connection, const Error& error) {
   send_error(connection, error);
   connection.closing = true;
-  if (connection.stream.unwritten() == 0) close(connection);
+  if (connection.phase != Phase::running) finish(connection);
+}
+
+void Front::finish(Connection& connection) {
+  lingerer_.take(connection.stream);
+  close(connection);
+  trim();
+}
+
+void Front::finish() {
+  finishing_ = true;
+  std::vector<Connection*> over;
+  for (const auto& [serial, connection] : connections_) {
+    if (connection->phase != Phase::running) over.push_back(connection.get());
+  }
+  for (auto* connection : over) finish(*connection);
+}
+
+// At the end no descriptor is needed any more.
+void Front::trim() {
+  if (!finishing_) lingerer_.trim(options_.most_connections + kMostLingering - connections_.size());
+}
+
+void Front::settle() {
+  gone_.clear();
+  lingerer_.settle();
 }
 
 void Front::close(Connection& connection) {
@@ -331,7 +383,8 @@
 }
 
 bool Front::unwritten() const {
-  return std::ranges::any_of(connections_, [](const auto& c) { return c.second->stream.unwritten() > 0; });
+  const auto writes = [](const auto& c) { return c.second->stream.unwritten() > 0; };
+  return lingerer_.size() > 0 || std::ranges::any_of(connections_, writes);
 }
 
 }  // namespace bellstair::mysql
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -18,6 +18,7 @@
 #include "directory/verdict.hpp"
 #include "mysql/mapping.hpp"
 #include "mysql/packet.hpp"
+#include "net/lingerer.hpp"
 #include "net/stream.hpp"
 
 namespace bellstair::mysql {
@@ -35,14 +36,16 @@
         Post post);
 
   bool run(const core::Answer& answer);  // false: the client is not one of this front's
-  void settle() { gone_.clear(); }
+  void settle();
   void tick(core::Time now);
+  void finish();  // the program ends: every connection is closed once nothing on it is owed
   [[nodiscard]] bool unwritten() const;
 
  private:
   static constexpr std::size_t kMostPacket = std::size_t{1} << 20;
   static constexpr std::size_t kMostUnwritten = std::size_t{16} << 20;
   static constexpr std::size_t kMostStatements = 1024;  // prepared, on one connection
+  static constexpr std::size_t kMostLingering = 16;     // beyond what the connections' room leaves
 
   enum class Phase { login, switched, clear_password, looked_up, idle, running };
   struct Statement {
@@ -58,7 +61,9 @@
     std::string nonce, user;
     std::uint32_t capabilities = 0, tenant = 0;
     std::uint8_t sequence = 0;
-    bool taking = false, closing = false;
+    bool taking = false;
+    bool closing = false;     // what more comes is dropped; closed once what runs has its answer
+    bool ended = false;       // the client writes no more: it has closed its side, or all of it
     core::Client client = 0;  // while one of its statements runs
     bool binary = false;      // it was prepared
     bool reads = false;
@@ -85,7 +90,9 @@
   void send(Connection& connection, std::string_view payload);
   void send_error(Connection& connection, const Error& error);
   void refuse(Connection& connection, const Error& error);  // and close
-  void close(Connection& connection);
+  void close(Connection& connection);                       // its one end: what runs for it is cancelled
+  void finish(Connection& connection);                      // by a lingering close
+  void trim();
 
   ev::loop_ref loop_;
   const config::MysqlFront& config_;
@@ -99,6 +106,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::Client, std::uint64_t> running_;
   std::vector<std::unique_ptr<Connection>> gone_;
+  net::Lingerer lingerer_;
+  bool finishing_ = false;
   core::TimerWheel<std::uint64_t> logins_{std::chrono::milliseconds(5)};
   std::uint64_t serial_ = 0;
   core::Time now_{};
--- a/src/mysql/packet.hpp
+++ b/src/mysql/packet.hpp
@@ -17,6 +17,7 @@
 };
 
 // Capabilities, commands, column types and flags, as the protocol numbers them.
+inline constexpr std::uint16_t kTooManyConnections = 1040;  // an error, of engines and of the front
 inline constexpr std::uint32_t kLongPassword = 1, kConnectWithDb = 8, kProtocol41 = 1U << 9,
                                kTransactions = 1U << 13, kSecureConnection = 1U << 15, kPluginAuth = 1U << 19,
                                kConnectAttributes = 1U << 20, kLenencAuth = 1U << 21,
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -8,6 +8,9 @@
 #include <cerrno>
 
 namespace bellstair::net {
+namespace {
+constexpr int kReads = 4;  // buffers read from one stream in a turn of the loop
+}  // namespace
 
 Stream::Stream(ev::loop_ref loop, Fd fd, bool dialling, std::size_t most_unwritten)
     : io_(loop), fd_(std::move(fd)), dialling_(dialling), most_unwritten_(most_unwritten) {
@@ -77,10 +80,20 @@
   if (fd_) watch();
 }
 
-bool Stream::stale() const {
+Stream::Rest Stream::release() {
+  Rest out{std::move(fd_), out_.substr(out_at_)};
+  io_.stop();
+  out_.clear();
+  out_at_ = 0;
+  close();
+  return out;
+}
+
+Stream::Unread Stream::unread() const {
   char byte = 0;
   const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return got >= 0 || (errno != EAGAIN && errno != EINTR);
+  if (got > 0) return Unread::bytes;
+  return got < 0 && (errno == EAGAIN || errno == EINTR) ? Unread::nothing : Unread::end;
 }
 
 void Stream::fail(int error) {
@@ -113,12 +126,17 @@
 
 void Stream::read() {
   static std::array<char, std::size_t{64} * 1024> buffer;  // one loop, one thread
-  const auto got = ::recv(fd_.get(), buffer.data(), buffer.size(), 0);
-  if (got > 0) {
+  ssize_t got = 0;
+  // More than one buffer in a turn, so that a flood does not hide its end; not for ever, for the others'
+  // sake.
+  for (int turn = 0; turn < kReads; ++turn) {
+    got = ::recv(fd_.get(), buffer.data(), buffer.size(), 0);
+    if (got <= 0) break;
+    const auto alive = alive_;
     if (handlers_.data) handlers_.data({buffer.data(), static_cast<std::size_t>(got)});
-    return;
+    if (!*alive || !fd_ || paused_ || static_cast<std::size_t>(got) < buffer.size()) return;
   }
-  if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR))) return;
   if (got < 0) return fail(errno);
   ended_ = true;
   watch();
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -40,14 +40,28 @@
   // unread would reset the connection, and take from the peer what it has not read yet.
   void finish();
 
+  // What was written and has not left yet, and the descriptor with it: for another owner. No handler of this
+  // one is called any more.
+  struct Rest {
+    Fd fd;
+    std::string unwritten;
+  };
+  [[nodiscard]] Rest release();
+
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
   // errno of what broke it; 0: nothing did, or it was closed.
   [[nodiscard]] int error() const { return error_; }
   [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
   [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
+  [[nodiscard]] bool ended() const { return ended_; }             // the peer writes no more
+  // What lies in the system's buffer, not yet read: the loop may not have come to it.
+  enum class Unread { nothing, bytes, end };
+  [[nodiscard]] Unread unread() const;
   // For a stream at rest: true if the peer has closed it, or said something unasked.
-  [[nodiscard]] bool stale() const;
+  [[nodiscard]] bool stale() const { return unread() != Unread::nothing; }
+  // True if it has been reset since its peer's end was read, which no reading would tell.
+  [[nodiscard]] bool reset() const { return fd_ && connect_error(fd_.get()) != 0; }
 
  private:
   void on_io(ev::io& watcher, int events);
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -12,6 +12,9 @@
 constexpr core::Time kDial = 250ms;
 // Failures at the start after which a broker serves on what it was told: their waits come to 350 to 700 ms.
 constexpr unsigned kFailuresToServe = 4;
+// A change log that takes calls and says nothing costs much longer each time: then it is the time that
+// counts, of which the platform leaves 10 s to a broker that was restarted.
+constexpr core::Time kLongToServe = 2s;
 // The change log holds a call for so long. A log that has stopped, its connections open, shows only by an
 // answer that stays away after that: the shorter the wait, the less is missed. Empty answers cost next to
 // nothing.
@@ -33,6 +36,7 @@
 
 void ChangeLog::tick(core::Time now) {
   now_ = now;
+  if (!began_) began_ = now;
   old_.reset();
   if (waiting_) {
     if (now >= next_try_) dial();
@@ -88,6 +92,7 @@
     if (news.changes.empty()) post_(core::FleetQuiet{});
     for (auto& change : news.changes) {
       change.live = true;
+      change.unix_now = std::chrono::system_clock::now().time_since_epoch();
       post_(std::move(change));
     }
     since_ = std::max(since_, news.seq);
@@ -114,7 +119,8 @@
   waiting_ = true;
   next_try_ = now_ + backoff_.after_failure();
   // A broker that has just started serves on what it was told until the change log can be asked.
-  if (first_ && ++failures_ == kFailuresToServe) post_(core::FleetQuiet{});
+  if (first_ && (++failures_ >= kFailuresToServe || now_ >= *began_ + kLongToServe))
+    post_(core::FleetQuiet{});
 }
 
 }  // namespace bellstair::platform
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/config.hpp"
@@ -43,6 +44,7 @@
   bool waiting_ = false;   // for the next try
   unsigned failures_ = 0;
   core::Time now_{}, next_try_{}, patience_{};
+  std::optional<core::Time> began_;
 };
 
 }  // namespace bellstair::platform
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -7,8 +7,9 @@
 namespace {
 using namespace std::chrono_literals;
 // A client is owed an answer, an error or a close within 3 s: so long for a first request, and for any line
-// to come whole; and so long to read the last word, while what it still sends is read and dropped.
-constexpr core::Time kWhole = 2s, kLinger = 800ms;
+// to come whole.
+constexpr core::Time kWhole = 2s;
+constexpr int kLooks = 8;  // connections looked at, to close one of them for room
 }  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::Names& names, std::size_t most_connections,
@@ -19,23 +20,29 @@
       handles_(handles),
       green_(std::move(green)),
       post_(std::move(post)),
-      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }) {}
+      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }),
+      lingerer_(loop) {}
 
 // A connection without an open request may be closed at any time: first those that never asked for anything.
+// One with a request that has come, and has not been read yet, is not at rest.
 bool Front::make_room() {
   if (connections_.size() < most_connections_) return true;
   for (const auto rank : {Rank::stranger, Rank::idle}) {
-    auto& list = ranks_[static_cast<std::size_t>(rank)];
-    if (list.empty()) continue;
-    close(*list.front());
-    return true;
+    int looks = 0;
+    for (auto* connection : ranks_[static_cast<std::size_t>(rank)]) {
+      if (++looks > kLooks) break;
+      const auto unread = connection->stream.unread();
+      if (unread == net::Stream::Unread::bytes) continue;
+      unread == net::Stream::Unread::end ? close(*connection) : finish(*connection);
+      return true;
+    }
   }
   return false;
 }
 
 void Front::rank(Connection& connection) {
-  const bool busy = !connection.leaving && (!connection.open.empty() || connection.stream.unwritten() > 0);
-  const auto rank = busy ? Rank::busy : connection.asked && !connection.leaving ? Rank::idle : Rank::stranger;
+  const bool busy = !connection.open.empty() || connection.stream.unwritten() > 0;
+  const auto rank = busy ? Rank::busy : connection.asked ? Rank::idle : Rank::stranger;
   if (rank == connection.rank) return;
   auto& from = ranks_[static_cast<std::size_t>(connection.rank)];
   auto& to = ranks_[static_cast<std::size_t>(rank)];
@@ -44,7 +51,12 @@
 }
 
 void Front::accept(net::Fd fd) {
-  if (!make_room()) return;
+  if (!make_room()) {
+    net::Stream turned_away(loop_, std::move(fd), false, kMostUnwritten);
+    turned_away.write(rpc_error(std::nullopt, kRpcRefused, "too many connections"));
+    lingerer_.take(turned_away);
+    return trim();
+  }
   auto made = std::make_unique<Connection>(loop_, std::move(fd));
   auto& connection = *made;
   connection.serial = ++serial_;
@@ -58,14 +70,16 @@
       .data = [this, &connection](std::string_view bytes) { take(connection, bytes); },
       .ended =
           [this, &connection] {
-            // It may only have closed its side: what it has asked for is still owed.
+            // It may only have closed its side, or have gone: what runs for it has its answer written, but
+            // nothing more is begun.
             connection.ended = true;
+            for (const auto& [id, client] : connection.open) post_(core::HalfClosed{client});
             if (connection.open.empty() && connection.stream.unwritten() == 0) close(connection);
           },
       .closed = [this, &connection] { close(connection); },
       .drained =
           [this, &connection] {
-            if (connection.ended && !connection.leaving && connection.open.empty()) return close(connection);
+            if (connection.ended && connection.open.empty()) return close(connection);
             rank(connection);
           },
   });
@@ -79,12 +93,19 @@
 // Clients that say nothing, or never end what they say, hold what others need.
 void Front::tick(core::Time now) {
   now_ = now;
+  lingerer_.tick(now);
+  // A client that has gone after its half-close is no longer heard.
+  std::vector<Connection*> left;
+  for (auto* connection : ranks_[static_cast<std::size_t>(Rank::busy)]) {
+    if (connection->ended && connection->stream.reset()) left.push_back(connection);
+  }
+  for (auto* connection : left) close(*connection);
   watches_.advance(now, [this](std::uint64_t serial) {
     const auto found = connections_.find(serial);
     if (found == connections_.end()) return;
     auto& connection = *found->second;
     connection.watched = false;
-    if (connection.leaving) return close(connection);
+    if (connection.closing || connection.ended) return;
     if (connection.spoken && connection.in.empty()) return;
     if (now_ < connection.since + kWhole) return watch(connection, connection.since + kWhole);
     dismiss(connection, "no whole request came");
@@ -106,17 +127,36 @@
   connections_.erase(found);
 }
 
+void Front::finish(Connection& connection) {
+  lingerer_.take(connection.stream);
+  close(connection);
+  trim();
+}
+
+void Front::finish() {
+  finishing_ = true;
+  std::vector<Connection*> over;
+  for (const auto& [serial, connection] : connections_) {
+    if (connection->open.empty()) over.push_back(connection.get());
+  }
+  for (auto* connection : over) finish(*connection);
+}
+
+// At the end no descriptor is needed any more.
+void Front::trim() {
+  if (!finishing_) lingerer_.trim(most_connections_ + kMostLingering - connections_.size());
+}
+
+void Front::settle() {
+  gone_.clear();
+  lingerer_.settle();
+}
+
 void Front::dismiss(Connection& connection, std::string_view why) {
-  // What is open on it was taken, and is answered first.
-  if (connection.open.empty()) connection.leaving = true;
   connection.stream.write(rpc_error(std::nullopt, -32600, why));
   partial_ -= std::exchange(connection.in, {}).size();
-  connection.ended = true;
-  if (!connection.leaving) return;
-  connection.stream.finish();
-  rank(connection);
-  connection.watched = false;
-  watch(connection, now_ + kLinger);
+  connection.closing = true;
+  if (connection.open.empty()) finish(connection);
 }
 
 void Front::strike(Connection& connection, const std::string& reply) {
@@ -126,7 +166,7 @@
 
 void Front::take(Connection& connection, std::string_view bytes) {
   // Lines that have come whole are read in place; only a line cut in two is kept.
-  while (connection.stream.open() && !connection.ended) {
+  while (connection.stream.open() && !connection.closing) {
     const auto end = bytes.find('\n');
     if (end == std::string_view::npos) break;
     if (connection.in.empty()) {
@@ -138,7 +178,7 @@
     }
     bytes.remove_prefix(end + 1);
   }
-  if (!connection.stream.open() || connection.ended) return;
+  if (!connection.stream.open() || connection.closing) return;
   rank(connection);
   if (bytes.empty()) return;
   if (connection.in.size() + bytes.size() > kMostLine || partial_ + bytes.size() > kMostPartial)
@@ -222,7 +262,9 @@
       connection.stream.write(rpc_error(open.id, kRpcTimedOut, "timed out", answer.pause));
       break;
   }
-  if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) {
+  if (connection.open.empty() && (connection.closing || finishing_)) {
+    finish(connection);
+  } else if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) {
     close(connection);
   } else {
     rank(connection);
@@ -231,7 +273,8 @@
 }
 
 bool Front::unwritten() const {
-  return std::ranges::any_of(connections_, [](const auto& c) { return c.second->stream.unwritten() > 0; });
+  const auto writes = [](const auto& c) { return c.second->stream.unwritten() > 0; };
+  return lingerer_.size() > 0 || std::ranges::any_of(connections_, writes);
 }
 
 }  // namespace bellstair::platform
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -14,6 +14,7 @@
 #include "config/config.hpp"
 #include "core/events.hpp"
 #include "core/wheel.hpp"
+#include "net/lingerer.hpp"
 #include "net/stream.hpp"
 #include "platform/jsonrpc.hpp"
 
@@ -28,8 +29,11 @@
 
   // False: the client is not one of this front's.
   bool run(const core::Answer& answer);
-  void settle() { gone_.clear(); }
+  void settle();
   void tick(core::Time now);
+  // The program ends: every connection is closed once nothing on it is owed.
+  void finish();
+  // True while something is to be written, or a client has still to read its last word.
   [[nodiscard]] bool unwritten() const;
 
  private:
@@ -39,6 +43,7 @@
                                               << 20;  // of lines cut in two, all clients together
   static constexpr unsigned kMostStrikes = 64;        // lines of no use, on one connection
   static constexpr std::size_t kMostOpen = 32;
+  static constexpr std::size_t kMostLingering = 16;  // beyond what the connections' room leaves
 
   // In the order in which they are closed to make room. Busy ones never are.
   enum class Rank { stranger, idle, busy };
@@ -47,13 +52,13 @@
     net::Stream stream;
     std::string in;
     std::uint64_t last_id = 0;  // of its requests
-    bool ended = false;         // the client writes no more
+    bool ended = false;         // the client writes no more: it has closed its side, or all of it
+    bool closing = false;       // what more comes is dropped; closed once what is open has its answers
     bool spoken = false;        // a whole line has come
     bool asked = false;         // a request was taken
-    bool leaving = false;       // has its last word; what comes is not read
     bool watched = false;       // a timer is armed for it
     unsigned strikes = 0;
-    core::Time since{};  // it was accepted, the line that is not whole began, or its last word was said
+    core::Time since{};  // it was accepted, or the line that is not whole began
     Rank rank = Rank::stranger;
     std::list<Connection*>::iterator place;
     std::unordered_map<std::uint64_t, core::Client> open;  // by the client's id
@@ -68,13 +73,16 @@
   void take(Connection& connection, std::string_view bytes);
   void take_line(Connection& connection, std::string_view line);
   void cancel(Connection& connection, const RpcCancel& message);
+  // The one end of a connection: what is open on it is cancelled.
   void close(Connection& connection);
-  // The client's last word from here; closed once it has had time to read that.
+  void finish(Connection& connection);  // by a lingering close
+  // The client's last word from here; closed once what is open on it has its answers.
   void dismiss(Connection& connection, std::string_view why);
   void strike(Connection& connection, const std::string& reply);
   void watch(Connection& connection, core::Time until);
   void rank(Connection& connection);
   bool make_room();
+  void trim();
 
   ev::loop_ref loop_;
   const config::Names& names_;
@@ -86,6 +94,8 @@
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::Client, Open> open_;
   std::vector<std::unique_ptr<Connection>> gone_;
+  net::Lingerer lingerer_;
+  bool finishing_ = false;
   std::array<std::list<Connection*>, 3> ranks_;  // by Rank, the one longest there in front
   core::TimerWheel<std::uint64_t> watches_{std::chrono::milliseconds(5)};
   std::size_t partial_ = 0;  // bytes of lines cut in two
