--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -7,9 +7,9 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Time kSweep = 1s;
-// A dial that is reset tells nothing of its engine, unlike one that nobody takes; nor does one that does not
-// come up while the engine is heard on other connections. So many in a row are made again, within the
-// waiter's time.
+// A dial that is reset tells nothing of its engine, unlike one that nobody takes: so many in a row are made
+// again. Nor does one that does not come up while the engine is heard on other connections: so many further
+// limits a waiter has then.
 constexpr int kRedials = 2;
 // Of the dial limit: a dial that takes longer has another made beside it, twice at the most. Connections come
 // up in milliseconds or late, so that this costs nothing otherwise, and the waiter takes whichever is first.
@@ -51,7 +51,7 @@
 }
 
 std::uint64_t Pool::acquire(std::uint32_t id, Taker taker, Time patience) {
-  engines_[id].waiting.push_back({++tickets_, std::move(taker), patience, {}});
+  engines_[id].waiting.push_back({++tickets_, std::move(taker), now_, patience, {}});
   stirred_.push_back(id);
   return tickets_;
 }
@@ -126,7 +126,6 @@
   connection.serial = serial;
   connection.engine = id;
   connection.since = now_;
-  connection.beside = engine.slow > 0;
   connections_.emplace(serial, std::move(made));
   ++engine.dialling;
   dials_.arm(now_ + limits_.dial_timeout / kSlowPart, serial);
@@ -168,24 +167,34 @@
   auto& engine = engines_[connection.engine];
   if (!well) {
     // A waiter that is left has the next settle() dial again.
-    const int error = connection.stream.error();
-    const bool blameless = error == ECONNRESET || (error == 0 && engine.heard > connection.since);
-    const bool second = connection.beside && error == 0;  // the first one's end tells
-    if (!second && !(blameless && ++engine.again <= kRedials)) {
+    if (connection.stream.error() != ECONNRESET || ++engine.resets > kRedials) {
       ++engine.failures;
-      engine.again = 0;
+      engine.resets = 0;
     }
     return remove(connection);
   }
   connection.ready = true;
   engine.heard = now_;
-  engine.again = 0;
+  engine.resets = 0;
   --engine.dialling;
   if (connection.slow) --engine.slow;
   release(connection);
 }
 
+// Each waiter has the dial limit, however many dials were made meanwhile and for whom.
+void Pool::give_up_overdue(Engine& engine) {
+  std::vector<Taker> late;
+  std::erase_if(engine.waiting, [&](Waiter& waiter) {
+    const Time limit = (engine.heard > waiter.since ? 1 + kRedials : 1) * limits_.dial_timeout;
+    if (now_ < waiter.since + limit) return false;
+    late.push_back(std::move(waiter.taker));
+    return true;
+  });
+  for (const auto& taker : late) taker(nullptr);
+}
+
 void Pool::hand_out(std::uint32_t id, Engine& engine) {
+  if (std::exchange(engine.overdue, false)) give_up_overdue(engine);
   while (!engine.waiting.empty()) {
     // The one used last that has rested, so that the others may be let go.
     const auto rested = std::ranges::find_if(engine.idle.rbegin(), engine.idle.rend(), [this](const auto* c) {
@@ -240,7 +249,10 @@
     const auto found = connections_.find(serial);
     if (found == connections_.end() || found->second->ready) return;
     auto& connection = *found->second;
-    if (now_ >= connection.since + limits_.dial_timeout) return dialled(connection, false);
+    if (now_ >= connection.since + limits_.dial_timeout) {
+      engines_[connection.engine].overdue = true;
+      return remove(connection);
+    }
     connection.slow = true;
     ++engines_[connection.engine].slow;
     stirred_.push_back(connection.engine);
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -32,7 +32,6 @@
     Stream stream;
     bool idle = false, ready = false;  // ready: dialled, and greeted where the protocol asks for that
     bool slow = false;                 // the dial takes long, and another one was made beside it
-    bool beside = false;               // it is that other one
     bool used = false;                 // by a call
     bool outdated = false;             // the engine has left the address that this leads to
     Time since{};                      // it was dialled, or came to rest
@@ -75,7 +74,7 @@
   struct Waiter {
     std::uint64_t ticket = 0;
     Taker taker;
-    Time patience{};
+    Time since{}, patience{};
     std::optional<Time> until;  // by the clock of ticks, from the first look at it on
   };
   struct Engine {
@@ -86,13 +85,15 @@
     std::size_t dialling = 0;
     std::size_t slow = 0;      // of these
     std::size_t failures = 0;  // dials that failed, not yet told to a waiter
-    int again = 0;             // dials in a row that failed and told nothing of the engine
+    int resets = 0;            // dials in a row that were reset
+    bool overdue = false;      // a dial did not come up, and waiters are to be looked at
     Time heard{};              // the last dial that came up, or byte that came
   };
 
   void dial(std::uint32_t id, Engine& engine);
   void dialled(Connection& connection, bool well);
   void lose(Connection& connection, bool clean);
+  void give_up_overdue(Engine& engine);
   void hand_out(std::uint32_t id, Engine& engine);
   bool make_room();
   void remove(Connection& connection);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -74,14 +74,10 @@
             // nothing more is begun.
             connection.ended = true;
             for (const auto& [id, client] : connection.open) post_(core::HalfClosed{client});
-            if (connection.open.empty() && connection.stream.unwritten() == 0) close(connection);
+            if (connection.open.empty()) finish(connection);
           },
       .closed = [this, &connection] { close(connection); },
-      .drained =
-          [this, &connection] {
-            if (connection.ended && connection.open.empty()) return close(connection);
-            rank(connection);
-          },
+      .drained = [this, &connection] { rank(connection); },
   });
 }
 
@@ -262,10 +258,8 @@
       connection.stream.write(rpc_error(open.id, kRpcTimedOut, "timed out", answer.pause));
       break;
   }
-  if (connection.open.empty() && (connection.closing || finishing_)) {
+  if (connection.open.empty() && (connection.closing || connection.ended || finishing_)) {
     finish(connection);
-  } else if (connection.ended && connection.open.empty() && connection.stream.unwritten() == 0) {
-    close(connection);
   } else {
     rank(connection);
   }
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -344,7 +344,11 @@
     const auto full = Socket::to(engine.address());
     open->data = [](std::string_view) {};
     d.acquire();
+    // A second waiter, whose dials begin while others take long, has the same limit and no longer.
+    std::optional<net::Pool::Connection*> second;
     d.pass(100ms);
+    d.pool.acquire(7, [&](net::Pool::Connection* connection) { second = connection; });
+    d.pool.settle();
     if (heard) {
       other.send("x");
       d.loop.run(ev::ONCE);
@@ -354,7 +358,11 @@
     EXPECT_FALSE(d.taken);
     d.pass(100ms);
     EXPECT_EQ(d.taken.has_value(), !heard);
+    EXPECT_FALSE(second);
+    for (int i = 0; i < (heard ? 11 : 4); ++i) d.pass(100ms);
+    EXPECT_TRUE(d.taken && second);
     EXPECT_EQ(d.taken.value_or(nullptr), nullptr);
+    EXPECT_EQ(second.value_or(nullptr), nullptr);
   }
 }
 
--- a/tests/rules_test.cpp
+++ b/tests/rules_test.cpp
@@ -1,5 +1,7 @@
 #include <gtest/gtest.h>
 
+#include <cmath>
+
 #include "bench.hpp"
 
 namespace heronwell::test {
@@ -166,48 +168,76 @@
 // ---- cold engines ---------------------------------------------------------------------------------------
 
 // Many gateways with different seeds, busy and quiet ones mixed, and one engine that has just started.
-class ColdByMany : public ::testing::TestWithParam<unsigned> {};
-
-TEST_P(ColdByMany, AllTogetherStayUnderTheTippingLoadAndTheEngineGetsWork) {
-  Settings s = plain_settings();
-  s.gateways = GetParam();
-  std::vector<Drive> gateways;
-  for (unsigned i = 0; i < s.gateways; ++i) {
-    s.me = i;
-    gateways.emplace_back(s, 1000 + i);
-    auto cold = engine(7);
-    cold.last_start = gateways.back().now - 1s;
-    gateways.back().list({cold});
-  }
-  std::map<Time, double> work;  // core-s by the module's first estimate: half the aim on one thread
-  RequestId id = 0;
-  for (int step = 0; step < 300; ++step) {
+struct ColdByMany : ::testing::TestWithParam<unsigned> {
+  static constexpr double kWork = 0.5;  // core-s of a query, by the module's first estimate: half the aim
+  // Core-s sent to it at each moment.
+  static std::map<Time, double> play(unsigned count, std::uint64_t seed) {
+    Settings s = plain_settings();
+    s.gateways = count;
+    std::vector<Drive> gateways;
     for (unsigned i = 0; i < s.gateways; ++i) {
-      auto& d = gateways[i];
-      if (step % (1 + i % 7) == 0) {
-        d.ask(++id, kQuick);
-        const bool sent = d.sends_of(id) > 0;
-        if (sent && d.sends.back().engine == 7) work[d.now] += 0.5;
-        if (sent) d.ends(id, 0, d.sends.back().engine, Result::served, 500ms);
+      s.me = i;
+      gateways.emplace_back(s, seed + i);
+      auto cold = engine(7);
+      cold.last_start = gateways.back().now - 1s;
+      gateways.back().list({cold});
+    }
+    std::map<Time, double> work;
+    RequestId id = 0;
+    for (int step = 0; step < 300; ++step) {
+      for (unsigned i = 0; i < s.gateways; ++i) {
+        auto& d = gateways[i];
+        if (step % (1 + i % 7) == 0) {
+          d.ask(++id, kQuick);
+          const bool sent = d.sends_of(id) > 0;
+          if (sent && d.sends.back().engine == 7) work[d.now] += kWork;
+          if (sent) d.ends(id, 0, d.sends.back().engine, Result::served, 500ms);
+        }
+        const auto before = d.sends.size();
+        d.until(d.now + 20ms);
+        for (auto n = before; n < d.sends.size(); ++n) work[d.now] += d.sends[n].engine == 7 ? kWork : 0;
       }
-      const auto before = d.sends.size();
-      d.until(d.now + 20ms);
-      for (auto n = before; n < d.sends.size(); ++n) work[d.now] += d.sends[n].engine == 7 ? 0.5 : 0;
     }
+    return work;
   }
-  double all = 0;
-  for (const auto& [from, unused] : work) {
-    double sum = 0;
-    for (const auto& [at, w] : work) sum += at >= from && at < from + 2s ? w : 0;
+  static double sum(const std::map<Time, double>& work, Time from) {
+    double out = 0;
+    for (const auto& [at, w] : work) out += at >= from && at < from + 2s ? w : 0;
+    return out;
+  }
+  static double budget(Time from) {
     const double warm = 0.4 + 0.6 * std::chrono::duration<double>(from + 1s - 100s).count() / 10;
-    EXPECT_LE(sum, 2.5 * warm * 0.85 * 4 * 2);
-    all += work[from];
+    return 2.5 * warm * 0.85 * 4 * 2;
+  }
+};
+
+TEST_P(ColdByMany, AllTogetherStayUnderTheTippingLoadAndTheEngineGetsWork) {
+  const auto work = play(GetParam(), 1000);
+  double all = 0;
+  for (const auto& [from, w] : work) {
+    EXPECT_LE(sum(work, from), budget(from));
+    all += w;
   }
   EXPECT_GT(all, 2) << "it is not kept idle either";
 }
 
 INSTANTIATE_TEST_SUITE_P(FewAndMany, ColdByMany, ::testing::Values(3U, 60U));
 
+// Beyond a budget of N queries only twice the root of N and two are put down to chance, whatever the number
+// of processes and their seeds.
+TEST(ColdStarts, WhatTwentyOrThirtyGatewaysSendStaysWithinWhatIsPutDownToChance) {
+  for (const unsigned count : {20U, 30U}) {
+    for (std::uint64_t seed = 1000; seed < 9000; seed += 1000) {
+      const auto work = ColdByMany::play(count, seed);
+      for (const auto& [from, unused] : work) {
+        const double n = ColdByMany::budget(from) / ColdByMany::kWork;
+        EXPECT_LE(ColdByMany::sum(work, from) / ColdByMany::kWork, n + 2 * std::sqrt(n) + 2)
+            << count << " " << seed;
+      }
+    }
+  }
+}
+
 TEST(ColdStarts, AWarmEngineIsNotHeldBack) {
   Settings s = plain_settings();
   Drive d(s);
