--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -19,6 +19,10 @@
 // hears nothing for so long is made again on another connection while there is time.
 constexpr core::Time kSilence = 700ms;
 constexpr core::Time kAside = 500ms;  // for calls that nothing waits for long: giving up, priorities
+// A second copy of an answer may come some milliseconds after the first, and would pass for the answer to
+// another query's call: so long nothing else is asked on the connection. The protocol's slack for time
+// limits.
+constexpr core::Time kRest = 50ms;
 constexpr int kReconnects = 2;
 constexpr int kProbeAgain = 1;  // times that a probe whose connection broke is made again
 // A query that nobody asks for runs on for 2 s (PROTOCOL), and counts as asked for while its engine holds the
@@ -50,7 +54,7 @@
 
 Engines::Engines(ev::loop_ref loop, net::Pool::Limits limits, std::vector<std::string> class_names,
                  std::vector<std::string> load_fields, net::Post post)
-    : pool_(loop, limits),
+    : pool_(loop, (limits.rest = kRest, limits)),
       transit_(limits.dial_timeout),
       class_names_(std::move(class_names)),
       load_fields_(std::move(load_fields)),
@@ -100,14 +104,17 @@
 }
 
 void Engines::aside(core::EngineId engine, std::string bytes, core::Time patience, Heard heard) {
-  pool_.acquire(engine, [this, bytes = std::move(bytes), patience, heard = std::move(heard)](Connection* c) {
-    HttpAnswer none;
-    if (c == nullptr) return heard(End::not_connected, none);
-    call(*c, bytes, patience, [this, heard](End end, HttpAnswer& answer, Connection* fit) {
-      if (fit != nullptr) pool_.release(*fit);
-      heard(end, answer);
-    });
-  });
+  pool_.acquire(
+      engine,
+      [this, bytes = std::move(bytes), patience, heard = std::move(heard)](Connection* c) {
+        HttpAnswer none;
+        if (c == nullptr) return heard(End::not_connected, none);
+        call(*c, bytes, patience, [this, heard](End end, HttpAnswer& answer, Connection* fit) {
+          if (fit != nullptr) pool_.release(*fit);
+          heard(end, answer);
+        });
+      },
+      patience);
 }
 
 void Engines::tick(core::Time now) {
@@ -126,9 +133,8 @@
   attempt.ticket = pool_.acquire(effect.engine, [this, id](Connection* connection) {
     const auto found = attempts_.find(id);
     if (connection == nullptr) return end(id, AttemptEnd::not_connected);
-    found->second.connection = connection;
     found->second.stage = Stage::ready;
-    park(id);
+    keep(id, connection);
     post_(core::AttemptReady{id});
   });
 }
@@ -224,13 +230,15 @@
   auto& attempt = attempts_.at(id);
   attempt.call = call(*attempt.connection, deletion(attempt), kAside,
                       [this, id](End how, HttpAnswer& answer, Connection* fit) {
-                        attempts_.at(id).connection = fit;
+                        keep(id, fit);
                         deleted(id, how, answer);
                       });
 }
 
-void Engines::park(AttemptId id) {
-  auto* connection = attempts_.at(id).connection;
+// The one way in which an attempt comes to hold a connection: should it break before the next call is on it,
+// the attempt must hear of that, since the pool frees it.
+void Engines::keep(AttemptId id, Connection* connection) {
+  attempts_.at(id).connection = connection;
   if (connection == nullptr) return;
   connection->lost = [this, id, connection](bool) {
     attempts_.at(id).connection = nullptr;
@@ -303,9 +311,9 @@
   if (found == attempts_.end()) return;
   auto& attempt = found->second;
   const bool posting = attempt.stage == Stage::posted || attempt.stage == Stage::leaving;
-  attempt.connection = fit;
+  keep(id, fit);
   attempt.quiet_since = std::max(attempt.quiet_since, steady_now());
-  if (attempt.stage == Stage::deleting) return park(id);  // the answer to that call ends it
+  if (attempt.stage == Stage::deleting) return;  // the answer to that call ends it
   if (attempt.stage == Stage::recalling) {
     if (how == End::answered && (answer.status == 200 || answer.status == 500))
       return end(id, AttemptEnd::withdrawn);  // it has ended
@@ -397,7 +405,7 @@
       return;
     }
     if (connection == nullptr) return let_go(id, AttemptEnd::reset);
-    found->second.connection = connection;
+    keep(id, connection);
     ask(id);
   });
 }
