--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -206,6 +206,28 @@
   }
 }
 
+// The module sends a second copy where the first is far overdue: not for a client that may have gone.
+TEST(Reducer, AHalfClosedRequestGetsNoSecondCopy) {
+  for (const bool half_closed : {false, true}) {
+    auto s = settings();
+    s.second_copies = true;
+    Driven d(s);
+    d.at(0ms, FleetChange{false, {member(8)}, true, {}});
+    for (Client client = 10; client < 30; ++client) {  // what saves up work for copies
+      d.ask(client);
+      const auto id = d.all<StartAttempt>().back().id;
+      d.at(1ms, AttemptReady{id});
+      d.finish(id, AttemptEnd::served);
+    }
+    d.effects.clear();
+    d.ask(1, 0, 20s);
+    d.at(1ms, AttemptReady{d.all<StartAttempt>().at(0).id});
+    if (half_closed) d.at(1ms, HalfClosed{1});
+    d.pass(3s);
+    EXPECT_EQ(d.all<StartAttempt>().size() == 1, half_closed);
+  }
+}
+
 // The module decides on a repeat in time; its connection may take until the window is over.
 TEST(Reducer, ARepeatWhoseConnectionComesAfterItsKeysWindowIsNotSent) {
   for (const auto& [wait, sent] : {std::pair<Time, std::size_t>{100ms, 2}, {1900ms, 1}}) {
