--- /dev/null
+++ b/src/config/document.hpp
@@ -0,0 +1,47 @@
+// A document of the configuration as control nodes hand it out, in HCL: what of the settings may change in a
+// running fleet. What it does not name is as the platform's own configuration has it, so that what is in force
+// depends on one version alone, and never on those before.
+//
+//     changelog = "10.2.0.1:9092"
+//     class "lookup" {
+//       aim        = "400ms"
+//       give_up    = "2s"
+//       worth      = 1
+//       late_share = 0.3
+//     }
+//     tenant "lycee-ennour" {      # with any tenant in it, the document names all that there are
+//       share = 0.59
+//       quota = 60                 # requests a second, over all brokers
+//     }
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/config.hpp"
+#include "hcl/value.hpp"
+
+namespace bellstair::config {
+
+struct Document {
+  struct Class {
+    std::string name;
+    hcl::Position at;
+    std::optional<core::Time> aim, give_up;
+    std::optional<double> worth, late_share;
+  };
+  struct Tenant {
+    std::string name;
+    double share = 0, quota_per_s = 0;
+  };
+  std::optional<std::string> changelog;
+  std::vector<Class> classes;
+  std::optional<std::vector<Tenant>> tenants;
+};
+
+// `file` is for errors. `classes`: the names that a class may have. What can't change in a running broker
+// (listeners, names, threads, hooks, ...) is refused by its name. Throws hcl::Invalid with all that is wrong.
+[[nodiscard]] Document parse_document(std::string_view text, const std::string& file,
+                                      const std::vector<std::string>& classes);
