--- a/deploy/bellstair.hcl
+++ b/deploy/bellstair.hcl
@@ -22,3 +22,19 @@
 #     class = "report"
 #   }
 # }
+
+# The configuration of all brokers, in numbered versions; docs/operators/control.md tells of it. The same file serves
+# brokers, the control nodes (bellstair control FILE --node c1) and the operator's tool (bellstair config ...).
+# control {
+#   fleet   = "tunis"
+#   epoch   = 1                               # raised whenever another node is named as writer
+#   writer  = "c1"
+#   classes = ["lookup", "report", "load"]    # that a document may name; needed by nodes
+#   region  = "north"                         # of the broker that reads this file
+#   last    = "/var/lib/bellstair/last-version" # where a broker keeps the version in force; absent: nowhere
+#   node "c1" {
+#     address = "10.0.0.1:7101"
+#     region  = "north"
+#     store   = "/var/lib/bellstair/control.db"
+#   }
+# }
--- a/src/app/control_client.hpp
+++ b/src/app/control_client.hpp
@@ -1,5 +1,5 @@
-// The broker's stream to the control nodes, on the loop: control::Subscriber with a socket, timers and the file
-// of the last version. A part of app::Broker, made only where the operator's file has `control`.
+// The broker's stream to the control nodes, on the loop: control::Subscriber with a socket, timers and the
+// file of the last version. A part of app::Broker, made only where the operator's file has `control`.
 #pragma once
 
 #include <ev++.h>
@@ -15,8 +15,8 @@
 
 class ControlClient {
  public:
-  // Called from settle() alone, with a version whose checksum and place are right; applied() must follow, from
-  // within or later.
+  // Called from settle() alone, with a version whose checksum and place are right; applied() must follow,
+  // from within or later.
   using OnOffer = std::function<void(const control::Version&)>;
 
   // `name`: the broker's. Reads the file of the last version; one that is damaged is put aside and told.
@@ -24,10 +24,10 @@
                 OnOffer offer);
   ~ControlClient();
 
-  void start();                 // the last version, if there is one, is offered at once
-  void tick(core::Time now);    // with each tick of the broker (5 ms)
-  void settle();                // once in each turn of the loop
-  void stop();                  // hangs up; nothing is dialled any more
+  void start();               // the last version, if there is one, is offered at once
+  void tick(core::Time now);  // with each tick of the broker (5 ms)
+  void settle();              // once in each turn of the loop
+  void stop();                // hangs up; nothing is dialled any more
   // What became of a version. No problem: it is in force, and is kept in the file.
   void applied(const control::Version& version, const std::string& problem);
 
--- a/src/config/fronts.cpp
+++ b/src/config/fronts.cpp
@@ -183,6 +183,7 @@
     out.mysql_engines = MysqlEngines{std::move(user), secret(in, "password_env")};
     in.finish();
   }
+  if (auto control = top.block("control")) out.control = parse_control(control->reader, file);
   out.hooks = parse_hooks(top, names, file);
   top.finish();
   if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
@@ -206,7 +207,7 @@
     }
   }
   auto out = parse_hooks(top, names, file);
-  for (const char* other : {"mysql", "mysql_engines", "directory"}) (void)top.has(other);
+  for (const char* other : {"mysql", "mysql_engines", "directory", "control"}) (void)top.has(other);
   top.finish();
   if (!problems.empty()) throw hcl::Invalid(file, std::move(problems));
   return out;
--- a/src/config/fronts.hpp
+++ b/src/config/fronts.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "config/config.hpp"
+#include "config/control.hpp"
 #include "hooks/spec.hpp"
 
 namespace bellstair::config {
@@ -33,6 +34,7 @@
   std::optional<MysqlFront> mysql;
   std::optional<MysqlEngines> mysql_engines;
   std::optional<Directory> directory;
+  std::optional<Control> control;
   hooks::Set hooks;
 };
 
