--- a/src/control/message.hpp
+++ b/src/control/message.hpp
@@ -1,6 +1,6 @@
-// What control nodes, brokers and the operator's tool say to each other: one JSON object a frame, its kind under
-// "kind". Unknown members are passed over, so that later versions can add some; what is missing, of the wrong
-// type or over its bound is an error that names the member.
+// What control nodes, brokers and the operator's tool say to each other: one JSON object a frame, its kind
+// under "kind". Unknown members are passed over, so that later versions can add some; what is missing, of the
+// wrong type or over its bound is an error that names the member.
 #pragma once
 
 #include <optional>
@@ -15,8 +15,10 @@
 namespace bellstair::control {
 
 inline constexpr unsigned kProtocol = 1;
-inline constexpr std::size_t kMostName = 128;    // bytes, of a fleet, node, broker or region
+inline constexpr std::size_t kMostName = 128;     // bytes, of a fleet, node, broker or region
 inline constexpr std::size_t kMostProblem = 512;  // bytes, of why a document is refused
+inline constexpr std::size_t kMostRejection = std::size_t{1}
+                                              << 16;  // bytes, of all that is wrong with a document
 inline constexpr std::size_t kMostMessage = std::size_t{4} << 20;
 
 enum class Role { broker, node, tool };
@@ -84,13 +86,16 @@
   std::vector<BrokerStatus> brokers;  // those that it has heard, also those that are gone
 };
 
-using Message = std::variant<Hello, Welcome, Farewell, Offer, Report, Ping, Pong, Publish, Published, Rejected,
-                             AskStatus, Status>;
+using Message = std::variant<Hello, Welcome, Farewell, Offer, Report, Ping, Pong, Publish, Published,
+                             Rejected, AskStatus, Status>;
 
 struct Malformed : std::runtime_error {
   using std::runtime_error::runtime_error;
 };
+// Throws Malformed where a document or its writer's name is not UTF-8; all other texts are cleaned and cut.
 [[nodiscard]] std::string encode(const Message& message);
 [[nodiscard]] Message decode(std::string_view text);  // throws Malformed; never anything else
+// At most so many bytes of it, as valid UTF-8: what is not becomes '?', and no character is cut.
+[[nodiscard]] std::string clean(std::string_view text, std::size_t most);
 
 }  // namespace bellstair::control
--- a/src/control/version.hpp
+++ b/src/control/version.hpp
@@ -1,5 +1,5 @@
-// A version of the configuration that control nodes keep and hand out: a whole document, with its place in the
-// order of all versions and a checksum. docs/design/control.md.
+// A version of the configuration that control nodes keep and hand out: a whole document, with its place in
+// the order of all versions and a checksum. docs/design/control.md.
 #pragma once
 
 #include <chrono>
@@ -30,8 +30,8 @@
   bool operator==(const Version&) const = default;
 };
 
-// SHA-256 in hex digits, over place, writer and text, each with its length: a version whose parts come from two
-// others does not pass for whole.
+// SHA-256 in hex digits, over place, writer and text, each with its length: a version whose parts come from
+// two others does not pass for whole.
 [[nodiscard]] std::string digest_of(const Version& version);
 [[nodiscard]] inline bool whole(const Version& version) { return version.digest == digest_of(version); }
 
