--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -68,8 +68,9 @@
   void accepted(Time now, PeerId peer, NodeEffects& out);
   void dialled(Time now, PeerId peer, NodeEffects& out);  // its own connection to the writer has come up
   void received(Time now, PeerId peer, std::string_view body, NodeEffects& out);
-  void drained(Time now, PeerId peer, NodeEffects& out);  // all that was sent to it has left
-  void closed(Time now, PeerId peer, NodeEffects& out);   // the connection is gone
+  // All that was sent to it has left; also where it left at once. Until then it is sent no further version.
+  void drained(Time now, PeerId peer, NodeEffects& out);
+  void closed(Time now, PeerId peer, NodeEffects& out);  // the connection is gone
   void kept(Time now, const Version& version, const std::string& problem,
             NodeEffects& out);  // empty: on disk
   void kept_reign(Time now, const Reign& reign, const std::string& problem, NodeEffects& out);
