Read a document of the configuration, and lay it over the platform's own

A running broker is to take up whole documents. parse_document() reads one in HCL, tells all mistakes with line and column, and refuses by name what only a restart can change. overlay() makes what is in force from the start's configuration and one document alone; tenants keep their positions, since requests, hooks and the module know them by it. Requests that name no tenant count as the first one's only while the settings have it.

--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -22,6 +22,7 @@
 struct Names {
   std::map<std::string, std::uint16_t, std::less<>> classes, zones, kinds;
   std::map<std::string, std::uint32_t, std::less<>> tenants;
+  std::uint32_t no_tenant = 0;  // of requests that name none: the platform's first, or one beyond the list
   std::vector<std::string> class_names;
   std::vector<std::string> load_fields;
 };
--- a/src/config/document.hpp
+++ b/src/config/document.hpp
@@ -1,6 +1,6 @@
 // A document of the configuration as control nodes hand it out, in HCL: what of the settings may change in a
-// running fleet. What it does not name is as the platform's own configuration has it, so that what is in force
-// depends on one version alone, and never on those before.
+// running fleet. What it does not name is as the platform's own configuration has it, so that what is in
+// force depends on one version alone, and never on those before.
 //
 //     changelog = "10.2.0.1:9092"
 //     class "lookup" {
@@ -15,6 +15,7 @@
 //     }
 #pragma once
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,7 +42,26 @@
   std::optional<std::vector<Tenant>> tenants;
 };
 
+// What a version may change, as a broker has it in force. Made of the configuration the broker began with and
+// one document.
+struct Overlay {
+  heronwell::Settings settings;
+  Names names;
+  std::string changelog;
+};
+
+// Classes keep their positions. Tenants keep theirs too ("slots"), since requests, hooks and the module know
+// them by it: one that the document lacks stays in its slot with share and quota 0, and only its name is
+// unknown from now on; the name coming back gets the slot back. Slots of the platform's own tenants are never
+// given to others; any other slot is, once its tenant is neither in `in_force` nor in the document and `held`
+// says that nothing refers to it. So there are never more than the platform's, those of two versions in a
+// row, and those held.
+[[nodiscard]] Overlay overlay(const Overlay& start, const Overlay& in_force, const Document& document,
+                              const std::function<bool(std::uint32_t slot)>& held);
+
 // `file` is for errors. `classes`: the names that a class may have. What can't change in a running broker
 // (listeners, names, threads, hooks, ...) is refused by its name. Throws hcl::Invalid with all that is wrong.
 [[nodiscard]] Document parse_document(std::string_view text, const std::string& file,
                                       const std::vector<std::string>& classes);
+
+}  // namespace bellstair::config
--- a/src/platform/jsonrpc.cpp
+++ b/src/platform/jsonrpc.cpp
@@ -68,6 +68,7 @@
   const auto limit = number(params, "limit", kMostLimitMs);
   if (!limit) throw Bad{"limit is missing"};
   out.limit = core::Time(static_cast<std::int64_t>(*limit * 1e6));
+  out.tenant = names.no_tenant;
   if (const auto team = text(params, "team", false); !team.empty()) {
     const auto found = names.tenants.find(team);
     if (found == names.tenants.end()) throw Bad{"team is in no settings"};
