--- a/src/app/config_tool.cpp
+++ b/src/app/config_tool.cpp
@@ -141,7 +141,7 @@
         lose(*node, error.what());
       }
     };
-    out.closed = [this](link::ChannelId id, const std::string& reason) {
+    out.closed = [this](link::ChannelId id, const std::string& reason, const std::string&) {
       if (auto* node = at(id)) lose(*node, reason);
     };
     return out;
@@ -250,10 +250,11 @@
   return out;
 }
 
+std::string show_place(Place place) { return place == Place{} ? "none" : control::to_text(place); }
+
 std::string show_behind(const Broker& broker) {
   const auto& in_force = broker.status.in_force;
-  return broker.status.name + " (" + (in_force == Place{} ? "none" : control::to_text(in_force)) + ", at " +
-         broker.node + ")";
+  return broker.status.name + " (" + show_place(in_force) + ", at " + broker.node + ")";
 }
 
 void print_refused(const std::vector<const Broker*>& brokers) {
@@ -269,6 +270,10 @@
   return "out of reach: " + (node.problem.empty() ? std::string("no answer yet") : node.problem);
 }
 
+std::string show_ms(Time time) {
+  return hcl::show_duration(std::chrono::ceil<std::chrono::milliseconds>(time));
+}
+
 int status_of(Outcome outcome) { return static_cast<int>(outcome); }
 
 int fail(Outcome outcome, const std::string& what) {
@@ -341,7 +346,7 @@
     const auto& status = node.status;
     rows.push_back({node.config.name, node.config.region, node.config.address,
                     status ? std::to_string(status->reign.epoch) : "-",
-                    status ? control::to_text(status->newest) : "-", std::to_string(at[node.config.name]),
+                    status ? show_place(status->newest) : "-", std::to_string(at[node.config.name]),
                     role_of(node)});
   }
   std::vector<std::size_t> widths(rows[0].size());
@@ -350,21 +355,20 @@
   }
   std::printf("fleet %s, epoch %llu of %s, newest version %s\n\n", config.fleet.c_str(),
               static_cast<unsigned long long>(config.epoch), config.writer.c_str(),
-              newest == Place{} ? "none" : control::to_text(newest).c_str());
+              show_place(newest).c_str());
   for (const auto& row : rows) {
     for (std::size_t i = 0; i + 1 < row.size(); ++i)
       std::printf("%-*s  ", static_cast<int>(widths[i]), row[i].c_str());
     std::printf("%s\n", row.back().c_str());
   }
   std::printf("\nversion    brokers\n");
-  for (const auto& [place, number] : by_place)
-    std::printf("%-9s  %zu\n", place == Place{} ? "none" : control::to_text(place).c_str(), number);
+  for (const auto& [place, number] : by_place) std::printf("%-9s  %zu\n", show_place(place).c_str(), number);
   if (by_place.empty()) std::printf("-          0\n");
   if (!count.behind.empty()) std::printf("behind: %s\n", joined(count.behind, show_behind).c_str());
   print_refused(count.refused);
   if (!count.gone.empty()) {
     const auto show = [](const Broker& broker) {
-      return broker.status.name + " (" + control::to_text(broker.status.in_force) + ", heard " +
+      return broker.status.name + " (" + show_place(broker.status.in_force) + ", heard " +
              hcl::show_duration(std::chrono::floor<std::chrono::seconds>(broker.status.age)) + " ago)";
     };
     std::printf("gone: %s\n", joined(count.gone, show).c_str());
@@ -482,7 +486,8 @@
     const auto name = control::to_text(place);
     if (!kept_) {
       kept_ = now;
-      std::printf("%s: kept by %s\n", name.c_str(), config_.writer.c_str());
+      std::printf("%s: kept by %s after %s\n", name.c_str(), config_.writer.c_str(),
+                  show_ms(now - sent_at_).c_str());
     }
     const auto brokers = nodes_.brokers();
     const Count count(brokers, place);
@@ -502,7 +507,7 @@
     if (!late && (!asked || !count.behind.empty())) return false;
     for (const auto& node : nodes_.all()) {
       if (!node.welcome)
-        std::printf("%s: %s is %s; brokers that it serves are counted as it told them last\n", name.c_str(),
+        std::printf("%s: %s is %s; brokers that only it has heard are not counted\n", name.c_str(),
                     node.config.name.c_str(), out_of_reach(node).c_str());
     }
     print_refused(count.refused);
@@ -513,7 +518,7 @@
                                                            : Outcome::done);
     if (outcome_ == 0)
       std::printf("%s: in force at all %zu connected brokers after %s\n", name.c_str(), count.connected,
-                  hcl::show_duration(std::chrono::floor<std::chrono::milliseconds>(now - *kept_)).c_str());
+                  show_ms(now - *kept_).c_str());
     return true;
   }
 
--- a/src/app/control_client.cpp
+++ b/src/app/control_client.cpp
@@ -120,13 +120,22 @@
 struct ControlClient::Impl {
   Impl(ev::loop_ref loop, const config::Control& config, std::string broker, std::uint64_t seed,
        OnOffer offer)
-      : name(std::move(broker)),
+      : name(name_of(std::move(broker))),
         on_offer(std::move(offer)),
         file(config.last, config.fleet),
         nodes(config.nodes),
         subscriber(options_of(config, name, seed), read()),
         hub(loop, {control::kMostMessage, control::kMostMessage, kMostUnwritten}, 0, handlers()) {}
 
+  // Nodes know brokers by their names. One that has none is a new one after each start.
+  static std::string name_of(std::string name) {
+    if (!name.empty() && name.size() <= control::kMostName) return name;
+    auto out = "broker-" + std::to_string(::getpid());
+    std::fprintf(stderr, "bellstair %s: control: called so, since its configuration gives it %s\n",
+                 out.c_str(), name.empty() ? "no name" : "too long a name");
+    return out;
+  }
+
   std::optional<control::Version> read() {
     std::optional<control::Version> out;
     if (const auto problem = file.read(out); !problem.empty()) say("control: " + problem);
@@ -149,7 +158,7 @@
       if (id == channel) act([&](auto& effects) { subscriber.received(steady_now(), body, effects); });
     };
     out.drained = [](link::ChannelId) {};
-    out.closed = [this](link::ChannelId id, const std::string&) {
+    out.closed = [this](link::ChannelId id, const std::string&, const std::string&) {
       if (id != channel) return;
       channel = 0;
       act([this](auto& effects) { subscriber.closed(steady_now(), effects); });
--- a/src/app/control_node.cpp
+++ b/src/app/control_node.cpp
@@ -22,6 +22,7 @@
 // The store with its journal, the listener, connections that are closing, and what libraries open.
 constexpr std::size_t kSpare = 320;
 constexpr std::size_t kLeastPeers = 16;
+constexpr std::size_t kMostTold = 10;  // connections cut off, by a line each, in a second
 // A version under way to a peer that is slow, its answers, and room for a status.
 constexpr std::size_t kMostUnwritten = 2 * control::kMostMessage;
 
@@ -133,10 +134,10 @@
   out.drained = [this](link::ChannelId id) {
     act([&](auto& effects) { node_.drained(steady_now(), id, effects); });
   };
-  out.closed = [this](link::ChannelId id, const std::string& reason) {
+  out.closed = [this](link::ChannelId id, const std::string& reason, const std::string& address) {
     if (id == upstream_ && !upstream_up_) return dial_over(steady_now());
     if (id == upstream_) dial_over(steady_now());
-    if (reason != link::kPeerClosed) say("connection " + std::to_string(id) + ": " + reason);
+    if (reason != link::kPeerClosed) cut_off(address + ": " + reason);
     act([&](auto& effects) { node_.closed(steady_now(), id, effects); });
   };
   return out;
@@ -172,6 +173,11 @@
 
 void ControlNode::run(const control::Log& effect) { std::fprintf(stderr, "%s\n", effect.text.c_str()); }
 
+// Whoever dials can have as many lines as connections: the first few of a second are told, and how many more.
+void ControlNode::cut_off(const std::string& what) {
+  if (++cut_off_ <= kMostTold) say("cut off: " + what);
+}
+
 void ControlNode::dial(core::Time now) {
   const auto wanted = node_.upstream();
   if (upstream_ != 0 && !upstream_up_ && (wanted != upstream_name_ || now - upstream_since_ >= kDial)) {
@@ -203,11 +209,14 @@
   hub_.tick(now);
   act([&](auto& effects) { node_.tick(now, effects); });
   dial(now);
-  if (hub_.turned_away() != turned_away_ && now >= next_told_) {
+  if (now < next_told_) return;
+  next_told_ = now + 1s;
+  if (std::exchange(cut_off_, 0) > kMostTold)
+    say("cut off: more than " + std::to_string(kMostTold) + " in a second");
+  if (hub_.turned_away() != turned_away_) {
     say("full with " + std::to_string(hub_.accepted()) +
         " connections: " + std::to_string(hub_.turned_away() - turned_away_) + " turned away");
     turned_away_ = hub_.turned_away();
-    next_told_ = now + 1s;
   }
 }
 
--- a/src/app/control_node.hpp
+++ b/src/app/control_node.hpp
@@ -42,6 +42,7 @@
   [[nodiscard]] control::NodeOptions options() const;
   [[nodiscard]] const config::ControlNode* find(const std::string& name) const;
   void say(const std::string& text) const;
+  void cut_off(const std::string& what);
   void dial(core::Time now);
   void dial_over(core::Time now);  // the connection to the writer is gone, or never came up
 
@@ -69,6 +70,7 @@
   bool upstream_up_ = false;
   core::Time upstream_since_{}, next_dial_{};
   std::uint64_t turned_away_ = 0;  // that were told
+  std::size_t cut_off_ = 0;        // in this second
   core::Time next_told_{};
   ev::timer tick_;
   ev::prepare prepare_;
--- a/src/link/hub.cpp
+++ b/src/link/hub.cpp
@@ -27,8 +27,10 @@
     ++turned_away_;
     return;
   }
+  auto address = net::peer_address(fd.get());
   const auto id = add(std::move(fd), false);
   channels_.at(id)->accepted = true;
+  channels_.at(id)->address = std::move(address);
   ++accepted_;
   handlers_.accepted(id);
 }
@@ -40,6 +42,7 @@
   const int error = errno;
   const bool made = static_cast<bool>(fd);
   const auto id = add(std::move(fd), true);
+  channels_.at(id)->address = address;
   if (!made) {
     channels_.at(id)->broken = std::strerror(error);
     stirred_.push_back(id);
@@ -110,9 +113,11 @@
 }
 
 void Hub::lose(ChannelId id, const std::string& reason) {
-  if (!channels_.contains(id)) return;
+  const auto found = channels_.find(id);
+  if (found == channels_.end()) return;
+  const auto address = found->second->address;
   close(id);
-  handlers_.closed(id, reason);
+  handlers_.closed(id, reason, address);
 }
 
 void Hub::settle() {
--- a/src/link/hub.hpp
+++ b/src/link/hub.hpp
@@ -31,7 +31,8 @@
     // All that was sent on it has left; after each send(), from settle() or the loop.
     std::function<void(ChannelId)> drained;
     // Once, unless its owner has finished or closed it: its peer has closed, it broke, or it never came up.
-    std::function<void(ChannelId, const std::string& reason)> closed;
+    // `address`: its peer's.
+    std::function<void(ChannelId, const std::string& reason, const std::string& address)> closed;
   };
 
   // `most_accepted`: connections from others at once; what comes beyond is closed at once.
@@ -57,6 +58,7 @@
  private:
   struct Held {
     Channel channel;
+    std::string address;  // the peer's
     bool accepted = false;
     bool sent = false;                  // and `drained` is still owed
     std::optional<std::string> broken;  // `closed` is still owed
@@ -68,7 +70,7 @@
   ChannelId add(net::Fd fd, bool dialling);
   void accept(net::Fd fd);
   std::unique_ptr<Held> take_out(Channels::iterator found);
-  void lose(ChannelId id, const std::string& reason);
+  void lose(ChannelId id, const std::string& reason);  // `reason` is not the channel's own
 
   ev::loop_ref loop_;
   Limits limits_;
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -40,14 +40,19 @@
   return fd;
 }
 
-std::string local_address(int fd) {
+namespace {
+std::string address_of(int fd, decltype(::getsockname)* get) {
   sockaddr_in at{};
   socklen_t size = sizeof at;
-  ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size);
+  get(fd, reinterpret_cast<sockaddr*>(&at), &size);
   char host[INET_ADDRSTRLEN] = "";
   ::inet_ntop(AF_INET, &at.sin_addr, host, sizeof host);
   return std::string(host) + ":" + std::to_string(ntohs(at.sin_port));
 }
+}  // namespace
+
+std::string local_address(int fd) { return address_of(fd, ::getsockname); }
+std::string peer_address(int fd) { return address_of(fd, ::getpeername); }
 
 Fd bind_udp(const sockaddr_in& at) {
   Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
--- a/tests/control_client_test.cpp
+++ b/tests/control_client_test.cpp
@@ -36,7 +36,7 @@
                             .connected = [](link::ChannelId) {},
                             .message = [this](link::ChannelId id, std::string_view body) { heard(id, body); },
                             .drained = [](link::ChannelId) {},
-                            .closed = [](link::ChannelId, const std::string&) {}});
+                            .closed = [](link::ChannelId, const std::string&, const std::string&) {}});
     auto fd = net::listen_tcp(net::parse_address("127.0.0.1:0").value());
     address = net::local_address(fd.get());
     node->listen(std::move(fd));
--- a/tests/link_test.cpp
+++ b/tests/link_test.cpp
@@ -127,22 +127,24 @@
   static constexpr std::size_t kMost = std::size_t{1} << 20;
 
   void open(std::size_t most_accepted = 100) {
-    hub = std::make_unique<Hub>(loop, Limits{kMost, kMost / 2, 2 * kMost}, most_accepted,
-                                Hub::Handlers{
-                                    .accepted = [this](ChannelId id) { accepted.push_back(id); },
-                                    .connected = [this](ChannelId id) { connected.push_back(id); },
-                                    .message =
-                                        [this](ChannelId id, std::string_view body) {
-                                          messages[id].emplace_back(body);
-                                          if (on_message) on_message(id);
-                                        },
-                                    .drained = [this](ChannelId id) { ++drained[id]; },
-                                    .closed =
-                                        [this](ChannelId id, const std::string& reason) {
-                                          EXPECT_FALSE(closed.contains(id));
-                                          closed[id] = reason;
-                                        },
-                                });
+    hub = std::make_unique<Hub>(
+        loop, Limits{kMost, kMost / 2, 2 * kMost}, most_accepted,
+        Hub::Handlers{
+            .accepted = [this](ChannelId id) { accepted.push_back(id); },
+            .connected = [this](ChannelId id) { connected.push_back(id); },
+            .message =
+                [this](ChannelId id, std::string_view body) {
+                  messages[id].emplace_back(body);
+                  if (on_message) on_message(id);
+                },
+            .drained = [this](ChannelId id) { ++drained[id]; },
+            .closed =
+                [this](ChannelId id, const std::string& reason, const std::string& from) {
+                  EXPECT_FALSE(closed.contains(id));
+                  EXPECT_FALSE(from.empty());
+                  closed[id] = reason;
+                },
+        });
     auto fd = net::listen_tcp(net::parse_address("127.0.0.1:0").value());
     address = net::local_address(fd.get());
     hub->listen(std::move(fd));
