Take up a whole version of the settings in one event of the core

Aims, give-up times, worths, late shares, tenants and the change log's address could change by a restart only. SettingsOffered is taken up whole or not at all: the module checks first and throws before anything has changed. Ranks are made anew; what was learned, queues, attempts, the control loop's state and tenants' tokens carry on. Requests keep their deadline, tenant and what their class allows. A version's change log wins over the one of the platform's file, also after SIGHUP. What holds a tenant longer than an event (MySQL connections, verdicts of the directory) knows it by name, since positions may change hands; hooks get the names in force.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -40,24 +40,28 @@
   unsigned threads = 1;
   bool holds_group = false;      // a load: holds its data group on its engine
   bool waits_for_group = false;  // stands still while a load holds its group there
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct KindSettings {
   std::string name;
   double cores = 1;
   double memory_mb = 0;  // 0: not told
+  bool operator==(const KindSettings&) const = default;
 };
 
 struct TenantSettings {
   std::string name;
   double share = 0;
   double quota_per_s = 0;  // over all gateways
+  bool operator==(const TenantSettings&) const = default;
 };
 
 struct RetryBudget {
   Time span{};
   double free = 0;   // further attempts allowed on top
   double ratio = 0;  // further attempts for each request taken
+  bool operator==(const RetryBudget&) const = default;
 };
 
 struct Settings {
@@ -97,6 +101,7 @@
   Time order_rest{};
   Time ask_within{};
   std::optional<RetryBudget> retry_budget;
+  bool operator==(const Settings&) const = default;
 };
 
 // ---- events -------------------------------------------------------------------------------------------
@@ -228,6 +233,13 @@
   Gateway(Gateway&&) noexcept;
   Gateway& operator=(Gateway&&) noexcept;
 
+  // From the next call of handle() on, decisions go by `settings`, about requests taken before as well; what
+  // has been learned, queues, attempts and the control loop's state carry on. May change: the classes' aims,
+  // give-up times, worths and late shares, and the tenants. A tenant that keeps its place and its name keeps
+  // its tokens, up to what its bucket now holds; another begins as at the start. Anything else that differs,
+  // or makes no sense, throws std::invalid_argument naming it, and all stays as it was.
+  void reconfigure(Settings settings);
+
   // Takes what has happened up to `now` and appends what to do. `now` never goes back.
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& out);
 
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -45,11 +45,13 @@
 }
 }  // namespace
 
-hooks::Words words_of(const config::Config& config) {
+hooks::Words words_of(const config::Config& config) { return words_of(config.settings); }
+
+hooks::Words words_of(const heronwell::Settings& settings) {
   hooks::Words out;
-  out.classes = config.names.class_names;
   out.fronts = config::kFrontNames;
-  for (const auto& tenant : config.settings.tenants) out.tenants.push_back(tenant.name);
+  for (const auto& cls : settings.classes) out.classes.push_back(cls.name);
+  for (const auto& tenant : settings.tenants) out.tenants.push_back(tenant.name);
   return out;
 }
 
@@ -78,9 +80,10 @@
       file_(std::move(file)),
       fronts_file_(std::move(fronts_file)),
       config_(std::move(config)),
+      start_{config_.settings, config_.names, config_.changelog},
       fronts_(std::move(fronts)),
       origin_(unix_now() - monotonic_now()),
-      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4, loaded.set),
+      reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4, loaded.set, config_.changelog),
       runner_(loop, words_of(config_), poster()),
       engines_(make_engines()),
       changelog_(loop, config_.changelog, config_.names, config_.known.seq, config_.seed, poster()),
@@ -213,10 +216,54 @@
   std::fprintf(stderr, "bellstair %s: %s\n", config_.name.c_str(), effect.text.c_str());
 }
 
+// What was posted before it is of the version before: all that refers to tenants is counted once it is heard.
+void Broker::offer(const control::Version& version) {
+  pump();
+  core::SettingsOffered offered;
+  offered.epoch = version.place.epoch;
+  offered.number = version.place.number;
+  const auto label = "version " + std::to_string(offered.epoch) + '.' + std::to_string(offered.number);
+  try {
+    auto document = config::parse_document(version.text, label, config_.names.class_names);
+    const auto held = reducer_.tenants_held();
+    auto overlay = config::overlay(start_, {config_.settings, config_.names, config_.changelog}, document,
+                                   [&](std::uint32_t slot) { return held.contains(slot); });
+    offered.settings = std::move(overlay.settings);
+    offered.changelog = std::move(document.changelog).value_or("");
+    offered.names = std::make_shared<const config::Names>(std::move(overlay.names));
+  } catch (const std::exception& error) {
+    return settled(version, error.what());
+  }
+  offered_ = &version;
+  post(std::move(offered));
+  pump();
+  offered_ = nullptr;
+}
+
+void Broker::settled(const control::Version& version, const std::string& problem) {
+  (void)version;
+  (void)problem;
+}
+
+void Broker::run(core::SettingsInForce& effect) {
+  ++taken_up_;
+  config_.settings = std::move(effect.settings);
+  config_.names = *static_cast<const config::Names*>(effect.names.get());
+  config_.changelog = std::move(effect.changelog);
+  runner_.know(words_of(config_.settings));
+  changelog_.follow(config_.changelog);
+  settled(*offered_, {});
+}
+
+void Broker::run(const core::SettingsRefused& effect) { settled(*offered_, effect.problem); }
+
 // Read whole, and as strictly as at the start, before anything of it is used. Scripts are loaded and tried
-// beside the loop.
+// beside the loop, in a thread that sees copies: versions of the settings come into force meanwhile.
 void Broker::run(const core::ReadConfiguration&) {
-  const auto read_again = [this] {
+  auto names = config_.names;
+  // The platform's own tenants keep their positions, also while a version leaves them out.
+  names.tenants.insert(start_.names.tenants.begin(), start_.names.tenants.end());
+  const auto read_again = [this, names = std::move(names), words = runner_.words(), seen = taken_up_] {
     struct Again {
       core::ConfigurationRead read;
       hooks::Loaded loaded;
@@ -230,13 +277,12 @@
         if (text != config_.fixed.at(field)) read.fixed.push_back(field);
       }
       if (!fronts_file_.empty()) {
-        // Names stay as they were at the start: so do the settings that they are of.
         const auto fronts =
-            config::parse_fronts(config::read_file(fronts_file_, "fronts"), fronts_file_, config_.names);
+            config::parse_fronts(config::read_file(fronts_file_, "fronts"), fronts_file_, names);
         if (fronts.mysql != fronts_.mysql) read.fixed.emplace_back("mysql");
         if (fronts.mysql_engines != fronts_.mysql_engines) read.fixed.emplace_back("mysql_engines");
         if (fronts.directory != fronts_.directory) read.fixed.emplace_back("directory");
-        again->loaded = hooks::load(fronts.hooks, runner_.words());
+        again->loaded = hooks::load(fronts.hooks, *words);
         for (const auto& problem : again->loaded.problems)
           read.problem += (read.problem.empty() ? "" : "\n") + problem;
         read.hooks = again->loaded.set;
@@ -244,8 +290,13 @@
     } catch (const std::exception& error) {
       read.problem = error.what();
     }
-    return [this, again] {
-      if (again->read.problem.empty()) runner_.adopt(again->loaded);
+    return [this, again, seen] {
+      // Another tenant may have taken the place of one that a hook names.
+      if (seen != taken_up_) return post(core::ReloadAsked{});
+      if (again->read.problem.empty()) {
+        start_.changelog = again->read.changelog;
+        runner_.adopt(again->loaded);
+      }
       post(std::move(again->read));
     };
   };
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -8,7 +8,9 @@
 #include <memory>
 
 #include "config/config.hpp"
+#include "config/document.hpp"
 #include "config/fronts.hpp"
+#include "control/version.hpp"
 #include "core/reducer.hpp"
 #include "directory/ldap.hpp"
 #include "hooks/runner.hpp"
@@ -26,6 +28,7 @@
 
 // Names for hooks, by their positions in the settings.
 [[nodiscard]] hooks::Words words_of(const config::Config& config);
+[[nodiscard]] hooks::Words words_of(const heronwell::Settings& settings);
 
 class Broker {
  public:
@@ -48,6 +51,8 @@
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
   [[nodiscard]] bool unwritten() const;
+  void offer(const control::Version& version);
+  void settled(const control::Version& version, const std::string& problem);
 
   void run(const core::Answer& effect);
   void run(const core::StartAttempt& effect) { engines_->run(effect); }
@@ -60,6 +65,8 @@
   void run(const core::Log& effect);
   void run(const core::ReadConfiguration&);
   void run(const core::FollowChangeLog& effect) { changelog_.follow(effect.address); }
+  void run(core::SettingsInForce& effect);
+  void run(const core::SettingsRefused& effect);
   void run(core::RunHook& effect);
   void run(const core::DropHook& effect) { runner_.run(effect); }
   void run(const core::RenewHook& effect) { runner_.run(effect); }
@@ -69,8 +76,12 @@
 
   ev::loop_ref loop_;
   std::string file_, fronts_file_;
+  // Its settings, names and change log are those in force: they are replaced in place, between the events of
+  // the fronts, which hold references to them.
   config::Config config_;
+  config::Overlay start_;  // as the platform's own configuration has them
   config::Fronts fronts_;
+  std::uint64_t taken_up_ = 0;  // versions
   core::Time origin_;  // from the steady clock to the core's, which began at the Unix time of the start
   std::uint64_t handles_ = 0;
   std::deque<core::Event> events_;
@@ -82,6 +93,7 @@
   // Off on the platform.
   std::unique_ptr<directory::Ldap> directory_;
   std::unique_ptr<mysql::Front> mysql_;
+  const control::Version* offered_ = nullptr;  // while it is being taken up
   platform::ChangeLog changelog_;
   platform::Peers peers_;
   ev::timer tick_, call_, hooks_turn_;
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -138,14 +138,19 @@
       mean_threads_ += set.threads / static_cast<double>(s_.classes.size());
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
-    std::stable_sort(rank_.begin(), rank_.end(), [this](ClassIndex a, ClassIndex b) {
-      const auto &x = s_.classes[a], &y = s_.classes[b];
-      return x.aim != y.aim ? x.aim < y.aim : x.worth > y.worth;
-    });
     for (const auto field : s_.load_fields)
       tells_load_ = tells_load_ || field == LoadField::inflight || field == LoadField::util;
     for (const auto& tenant : s_.tenants) arrival_rate_ += tenant.quota_per_s / s_.gateways;
-    for (std::size_t t = 0; t < s_.tenants.size(); ++t) tokens_.push_back(share_rate(t) * kShareBurst);
+    take_up({});
+  }
+
+  // What was learned, queues and attempts carry on; ranks and shares are as told from now on.
+  void reconfigure(Settings settings) {
+    check_change(s_, settings);
+    std::swap(s_, settings);
+    for (std::size_t c = 0; c < classes_.size(); ++c)  // those of a shorter limit have not waited
+      if (s_.classes[c].give_up != settings.classes[c].give_up) classes_[c].most_left = Time::zero();
+    take_up(settings.tenants);
   }
 
   void handle(Time now, const std::vector<Event>& events, std::vector<Action>& out) {
@@ -186,6 +191,15 @@
     put(WakeAfter{kTick});
   }
 
+  void take_up(const std::vector<TenantSettings>& before) {  // ranks and buckets, as the settings have them
+    std::ranges::sort(rank_);
+    std::ranges::stable_sort(rank_, [this](ClassIndex a, ClassIndex b) {
+      const auto &x = s_.classes[a], &y = s_.classes[b];
+      return x.aim != y.aim ? x.aim < y.aim : x.worth > y.worth;
+    });
+    tokens_.carry_over(before, s_.tenants, kShareLeast, [this](std::size_t t) { return burst(t); });
+  }
+
   double drawn() { return std::generate_canonical<double, 32>(random_); }  // from 0 to 1
   void put(Action action) { out_->push_back(std::move(action)); }
   void trace(const Engine& engine, const char* what) {
@@ -194,9 +208,8 @@
 
   void on(const Listing& list) {
     if (list.kind == ListKind::failed) asked_again_ = now_ + 1s;
-    if (list.kind == ListKind::full || list.kind == ListKind::cached) {
+    if (list.kind == ListKind::full || list.kind == ListKind::cached)
       for (auto& [id, engine] : engines_) engine.ready = false;
-    }
     for (const auto& entry : list.engines) {
       auto& engine = engines_[entry.engine];
       if (entry.last_start > engine.entry.last_start) begin_cold(engine, entry.last_start);
@@ -321,8 +334,7 @@
     auto* request = find(left.request);
     if (request == nullptr || !request->open) return;
     // Withdrawn before it was sent anywhere, it has used nothing of its tenant's share.
-    const auto tenant = request->asked.tenant;
-    if (request->attempts.empty() && tenant < tokens_.size()) tokens_[tenant] += 1;
+    if (request->attempts.empty()) tokens_.give_back(request->asked.tenant);
     close(*request);
   }
 
@@ -535,8 +547,8 @@
     const auto result = outcome.result;
     if (result == Result::served) return judge_served(engine, request, outcome);
     // The statement may be at fault. Where another engine can be asked, its answer tells.
-    if (result == Result::error && set(request).effect != Effect::unsafe) return;
-    if (result == Result::error) return judge_failed(engine, kErrorStep);
+    if (result == Result::error)
+      return set(request).effect == Effect::unsafe ? judge_failed(engine, kErrorStep) : void();
     if (result == Result::turned_away && level() < 0) return rest(engine, "is full");
     if (result == Result::turned_away)
       return take_report(engine, kCrowdAtFull * cores(engine), engine.heard = now_);
@@ -906,9 +918,8 @@
   const std::vector<Engine*>& homes(std::int64_t group) {
     auto& homes = homes_[group];
     if (homes.empty()) {
-      for (auto* engine : ready_) {
+      for (auto* engine : ready_)
         if (!rested(*engine)) homes.push_back(engine);
-      }
       const auto count = std::min(homes.size(), std::max(kHomes, ready_.size() / kHomePart));
       const auto order = [group](const Engine* engine) { return spread(group, engine->entry.engine); };
       std::ranges::partial_sort(homes, homes.begin() + static_cast<std::ptrdiff_t>(count), {}, order);
@@ -934,9 +945,8 @@
       const auto& near = homes(request.asked.data_group);
       if (!near.empty()) add(near[random_() % near.size()]);
     }
-    for (const auto& [at, engine] : recent_) {
+    for (const auto& [at, engine] : recent_)
       if (now_ < at + kFresh) add(engine);
-    }
     return compared_;
   }
 
@@ -959,12 +969,9 @@
   }
 
   bool release_one(bool under_budget) {
-    for (const auto c : rank_) {
-      auto& cls = classes_[c];
-      if (cls.queue.empty() || under_budget != (cls.running < cls.budget)) continue;
-      if (release_head(cls)) return true;
-    }
-    return false;
+    return std::ranges::any_of(rank_, [&](ClassIndex c) {
+      return under_budget == (classes_[c].running < classes_[c].budget) && release_head(classes_[c]);
+    });
   }
 
   // The first of the queue that may go; those that wait for their key's turn, or for proof, are passed by.
@@ -1001,20 +1008,16 @@
 
   void sample() {
     ease();
-    for (auto* engine : ready_) {
-      if (now_ <= engine->heard + kSlowLook) continue;
-      engine->pace = std::min(engine->pace, kSlow * std::max(1.0, fleet_pace_));
-    }
+    for (auto* engine : ready_)
+      if (now_ > engine->heard + kSlowLook)
+        engine->pace = std::min(engine->pace, kSlow * std::max(1.0, fleet_pace_));
     const double all = pool();
     const double wanted = sum(&Class::u);
     for (const auto c : rank_) {
       auto& cls = classes_[c];
       const double aim = kWaitAim * secs(s_.classes[c].aim);
-      double waits = cls.waits, count = cls.released;
-      for (const auto id : cls.queue) {  // those still held must show
-        waits += secs(now_ - requests_.at(id).queued);
-        ++count;
-      }
+      double waits = cls.waits, count = cls.released + static_cast<double>(cls.queue.size());
+      for (const auto id : cls.queue) waits += secs(now_ - requests_.at(id).queued);  // they must show
       const double error = std::max(-kMostError, (aim - (count > 0 ? waits / count : 0)) / aim);
       const double before = wanted > all ? cls.budget : cls.u;
       const double least = s_.classes[c].threads;
@@ -1095,18 +1098,14 @@
     fresh_arrivals_ = 0;
   }
 
+  double burst(std::size_t t) const { return share_rate(t) * kShareBurst; }
   void fill_tokens(double passed) {
-    for (std::size_t t = 0; t < tokens_.size(); ++t)
-      tokens_[t] = std::min(tokens_[t] + share_rate(t) * passed, share_rate(t) * kShareBurst + kShareLeast);
+    for (std::size_t t = 0; t < s_.tenants.size(); ++t)
+      tokens_.fill(t, share_rate(t) * passed, burst(t) + kShareLeast);
   }
 
   // A flood by one tenant takes nothing from the others: past its share it is refused once queries wait.
-  bool over_share(const Arrival& asked) {
-    if (s_.over_share_worth >= 1 || asked.tenant >= tokens_.size()) return false;
-    if (tokens_[asked.tenant] < 1) return true;
-    tokens_[asked.tenant] -= 1;
-    return false;
-  }
+  bool over_share(const Arrival& asked) { return s_.over_share_worth < 1 && !tokens_.take(asked.tenant); }
 
   Settings s_;
   std::mt19937_64 random_;
@@ -1118,7 +1117,7 @@
   KeyTurns turns_;
   std::deque<Time> taken_, further_;
   std::map<std::uint32_t, std::pair<Time, std::map<EngineId, unsigned>>> peers_;
-  std::vector<double> tokens_;                       // by tenant
+  TokenBuckets tokens_;                              // by tenant
   std::vector<Engine*> ready_, compared_, invited_;  // by id; of the last choice; cold, with a turn
   std::set<EngineId> busy_;                          // with a query of this gateway out
   std::map<std::int64_t, std::vector<Engine*>> homes_;
@@ -1146,6 +1145,7 @@
 Gateway::~Gateway() = default;
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
+void Gateway::reconfigure(Settings settings) { choice_->reconfigure(std::move(settings)); }
 void Gateway::handle(Time now, const std::vector<Event>& events, std::vector<Action>& out) {
   choice_->handle(now, events, out);
 }
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <variant>
@@ -115,6 +116,17 @@
   std::vector<std::string> fixed;   // fields that have changed and need a restart
   std::optional<hooks::Set> hooks;  // loaded and tried
 };
+// A version of the settings, whole. Taken up in this one event or not at all, in every phase of the program:
+// whichever decision comes after it, in the reducer or in the module, goes by the new aims, worths, shares
+// and quotas, about requests taken before as well. Those keep what they were taken with: their deadline,
+// their tenant (also one that is no longer in the settings) and what their class allows, which no version can
+// change.
+struct SettingsOffered {
+  std::uint64_t epoch = 0, number = 0;
+  heronwell::Settings settings;
+  std::string changelog;              // empty: that of the platform's own configuration
+  std::shared_ptr<const void> names;  // whoever offers it knows what it is
+};
 struct HookRan {
   hooks::Ran ran;
 };
@@ -128,7 +140,7 @@
 
 using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, HalfClosed, AttemptReady,
                            AttemptHeard, AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked,
-                           ConfigurationRead, HookRan, HookRenewed, HooksTurn, Tick>;
+                           ConfigurationRead, SettingsOffered, HookRan, HookRenewed, HooksTurn, Tick>;
 
 // ---- effects
 
@@ -179,6 +191,16 @@
 struct FollowChangeLog {      // there from now on; the number of the last event carries on
   std::string address;
 };
+struct SettingsInForce {  // names, hooks' words and the change log are those of it from here on
+  std::uint64_t epoch = 0, number = 0;
+  heronwell::Settings settings;
+  std::string changelog;
+  std::shared_ptr<const void> names;
+};
+struct SettingsRefused {  // nothing has changed
+  std::uint64_t epoch = 0, number = 0;
+  std::string problem;
+};
 using RunHook = hooks::Run;  // then report HookRan, before anything else of a hook
 using DropHook = hooks::Drop;
 using RenewHook = hooks::Renew;  // then report HookRenewed
@@ -187,8 +209,8 @@
 struct Exit {};
 
 using Effect = std::variant<Answer, StartAttempt, Transmit, Abandon, Reprioritize, ProbeEngine, TellPeers,
-                            EngineMoved, Log, ReadConfiguration, FollowChangeLog, RunHook, DropHook,
-                            RenewHook, RetireHook, CloseFronts, Exit>;
+                            EngineMoved, Log, ReadConfiguration, FollowChangeLog, SettingsInForce,
+                            SettingsRefused, RunHook, DropHook, RenewHook, RetireHook, CloseFronts, Exit>;
 using Effects = std::vector<Effect>;
 
 }  // namespace bellstair::core
--- a/src/core/lifecycle.hpp
+++ b/src/core/lifecycle.hpp
@@ -41,14 +41,17 @@
   // What is left to write, and what engines still have to be told, gets this long.
   static constexpr Time kFlush = std::chrono::milliseconds(300);
 
-  // `deadline`: the longest of all classes.
-  explicit Lifecycle(Time deadline = kMostDeadline)
-      : most_drain_(std::max(std::min(deadline, kMostDeadline) + kKill - kBeforeKill, kLinger)) {}
+  // `deadline`: the longest of all classes, as the platform's own configuration has them: its kill goes by
+  // them.
+  explicit Lifecycle(Time deadline = kMostDeadline) : most_drain_(drain_for(deadline)) {}
 
   void listening() { listening_ = true; }
   void fleet_known() { fleet_known_ = true; }
-  void stop(Time now) {
+  // `deadline`: the longest that counts by now. A version of the settings may have made it shorter; one that
+  // makes it longer does not move the kill. What comes into force later moves nothing any more.
+  void stop(Time now, Time deadline = kMostDeadline) {
     if (phase_ != Phase::starting && phase_ != Phase::serving) return;
+    most_drain_ = std::min(most_drain_, drain_for(deadline));
     phase_ = Phase::draining;
     since_ = now;
   }
@@ -72,6 +75,10 @@
   [[nodiscard]] bool green() const { return phase_ == Phase::serving; }
 
  private:
+  static constexpr Time drain_for(Time deadline) {
+    return std::max(std::min(deadline, kMostDeadline) + kKill - kBeforeKill, kLinger);
+  }
+
   Phase phase_ = Phase::starting;
   bool listening_ = false, fleet_known_ = false;
   Time most_drain_, since_{};
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <stdexcept>
 #include <utility>
 
 namespace bellstair::core {
@@ -63,9 +64,11 @@
 }
 }  // namespace
 
-Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes, hooks::Set hooks)
+Reducer::Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes, hooks::Set hooks,
+                 std::string changelog)
     : settings_(settings),
       gateway_(std::move(settings), seed),
+      own_changelog_(std::move(changelog)),
       lifecycle_(longest_deadline(settings_)),
       hooks_(std::move(hooks)),
       most_bytes_(most_bytes) {}
@@ -462,7 +465,12 @@
 }
 
 void Reducer::on(const StopAsked&) {
-  lifecycle_.stop(now_);
+  // Requests taken before a version that made deadlines shorter keep theirs.
+  Time longest = longest_deadline(settings_);
+  for (const auto& [id, request] : requests_) {
+    if (!request.answered) longest = std::max(longest, request.deadline - now_);
+  }
+  lifecycle_.stop(now_, longest);
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
 }
 
@@ -481,8 +489,34 @@
     said += "; hooks: " + std::to_string(read.hooks->hooks.size());
     hooks_.install(now_, std::move(*read.hooks));
   }
+  own_changelog_ = std::move(read.changelog);
+  if (!named_changelog_.empty() && named_changelog_ != own_changelog_)
+    said += "; the change log stays at " + named_changelog_ + ", as the version in force has it";
   put(Log{std::move(said)});
-  put(FollowChangeLog{std::move(read.changelog)});
+  put(FollowChangeLog{named_changelog_.empty() ? own_changelog_ : named_changelog_});
+}
+
+// The module first: it throws before anything has changed, and nothing after it can fail.
+void Reducer::on(SettingsOffered& offered) {
+  const auto version = std::to_string(offered.epoch) + '.' + std::to_string(offered.number);
+  try {
+    gateway_.reconfigure(offered.settings);
+  } catch (const std::invalid_argument& error) {
+    put(Log{"settings of version " + version + " can't be used, the old ones stay: " + error.what()});
+    return put(SettingsRefused{offered.epoch, offered.number, error.what()});
+  }
+  settings_ = std::move(offered.settings);
+  named_changelog_ = std::move(offered.changelog);
+  put(SettingsInForce{offered.epoch, offered.number, settings_,
+                      named_changelog_.empty() ? own_changelog_ : named_changelog_,
+                      std::move(offered.names)});
+  put(Log{"settings of version " + version + " are in force"});
+}
+
+std::unordered_set<std::uint32_t> Reducer::tenants_held() const {
+  auto out = hooks_.tenants();
+  for (const auto& [id, request] : requests_) out.insert(request.asked.tenant);
+  return out;
 }
 
 void Reducer::on(const Tick& tick) {
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -22,9 +22,9 @@
   static constexpr Time kTick = std::chrono::milliseconds(5);
 
   // What requests hold may take `most_bytes`; beyond that they are refused, since to be killed for memory
-  // would lose them all.
+  // would lose them all. `changelog`: its address in the platform's configuration.
   Reducer(heronwell::Settings settings, std::uint64_t seed, std::size_t most_bytes = std::size_t{64} << 20,
-          hooks::Set hooks = {});
+          hooks::Set hooks = {}, std::string changelog = {});
 
   // `now`: a steady clock, of any beginning. Alarms and spans run on it alone, so that a step of the system's
   // clock neither fires nor freezes them.
@@ -38,6 +38,8 @@
   [[nodiscard]] std::vector<hooks::Status> hooks() const { return hooks_.status(); }
   [[nodiscard]] std::size_t owed() const { return owed_; }  // requests without their final answer
   [[nodiscard]] std::size_t held() const { return requests_.size(); }
+  // Tenants, by their positions, that requests or hooks refer to.
+  [[nodiscard]] std::unordered_set<std::uint32_t> tenants_held() const;
 
  private:
   enum class Stage { waiting, out, leaving, over };  // for a connection; at the engine; given up; ended
@@ -83,6 +85,7 @@
   void on(const StopAsked&);
   void on(const ReloadAsked&) { put(ReadConfiguration{}); }
   void on(ConfigurationRead& read);
+  void on(SettingsOffered& offered);
   void on(HookRan& ran) { hooks_.ran(now_, std::move(ran.ran)); }
   void on(const HookRenewed& renewed) { hooks_.renewed(now_, renewed.renewed); }
   void on(const HooksTurn&) { hooks_.turn(now_); }
@@ -126,6 +129,8 @@
 
   heronwell::Settings settings_;
   heronwell::Gateway gateway_;
+  // The change log's address: by the platform's configuration, and by the version in force, which wins.
+  std::string own_changelog_, named_changelog_;
   Lifecycle lifecycle_;
   TimerWheel<Alarm> wheel_{kTick};
   std::unordered_map<RequestId, Request> requests_;
--- a/src/directory/ldap.cpp
+++ b/src/directory/ldap.cpp
@@ -76,7 +76,9 @@
   Done take_done() { return std::exchange(done_, {}); }
 
  private:
-  void conclude(Verdict::Kind kind, std::uint32_t tenant = 0) { owner_.answer(*this, {kind, tenant}); }
+  void conclude(Verdict::Kind kind, std::string tenant = {}) {
+    owner_.answer(*this, {kind, std::move(tenant)});
+  }
   void unavailable() { conclude(Verdict::Kind::unavailable); }
 
   void on_io(ev::io&, int) {
@@ -146,9 +148,8 @@
         ldap_get_values_len(ldap_, entry, owner_.config_.tenant_attribute.c_str()), ldap_value_free_len);
     if (!dn || !values || values.get()[0] == nullptr) return conclude(Verdict::Kind::denied);
     const auto* first = values.get()[0];
-    const auto tenant = owner_.names_.tenants.find(std::string_view(first->bv_val, first->bv_len));
-    if (tenant == owner_.names_.tenants.end()) return conclude(Verdict::Kind::denied);
-    tenant_ = tenant->second;
+    tenant_.assign(first->bv_val, first->bv_len);
+    if (!owner_.names_.tenants.contains(tenant_)) return conclude(Verdict::Kind::denied);
     bind(dn.get(), password_, Stage::user_bind);
   }
 
@@ -161,7 +162,7 @@
   LDAP* ldap_ = nullptr;
   Stage stage_ = Stage::connecting;
   int pending_ = 0;
-  std::uint32_t tenant_ = 0;
+  std::string tenant_;
 };
 
 Ldap::Ldap(ev::loop_ref loop, const config::Directory& config, const config::Names& names)
@@ -184,14 +185,14 @@
 
 void Ldap::look_up(const std::string& user, const std::string& password, Done done) {
   // A bind with a name and no password is one as nobody (RFC 4513, 5.1.2), and always succeeds.
-  if (user.empty() || password.empty()) return done({Verdict::Kind::denied, 0});
+  if (user.empty() || password.empty()) return done({Verdict::Kind::denied, {}});
   if (const auto found = known_.find(key(user, password));
       found != known_.end() && now_ < found->second.until)
     return done(found->second.verdict);
-  if (open_.size() >= kMostOpen) return done({Verdict::Kind::unavailable, 0});
+  if (open_.size() >= kMostOpen) return done({Verdict::Kind::unavailable, {}});
   open_.push_back(std::make_unique<Question>(*this, user, password, std::move(done)));
   auto& question = *open_.back();
-  if (!question.start()) answer(question, {Verdict::Kind::unavailable, 0});
+  if (!question.start()) answer(question, {Verdict::Kind::unavailable, {}});
 }
 
 void Ldap::answer(Question& question, Verdict verdict) {
@@ -212,7 +213,7 @@
   gone_.clear();
   // In the order of asking, and so in that of their time running out.
   while (!open_.empty() && open_.front()->until() <= now)
-    answer(*open_.front(), {Verdict::Kind::unavailable, 0});
+    answer(*open_.front(), {Verdict::Kind::unavailable, {}});
 }
 
 }  // namespace bellstair::directory
--- a/src/directory/verdict.hpp
+++ b/src/directory/verdict.hpp
@@ -1,7 +1,6 @@
 // What a directory of users says of one of them.
 #pragma once
 
-#include <cstdint>
 #include <functional>
 #include <string>
 
@@ -9,7 +8,7 @@
 
 struct Verdict {
   enum class Kind { granted, denied, unavailable } kind = Kind::denied;
-  std::uint32_t tenant = 0;
+  std::string tenant;  // its name: positions change with the settings
 };
 // `done` is called exactly once, now or later.
 using Done = std::function<void(Verdict)>;
--- a/src/hooks/control.cpp
+++ b/src/hooks/control.cpp
@@ -356,6 +356,16 @@
   hooks_.erase(found);
 }
 
+std::unordered_set<std::uint32_t> Control::tenants() const {
+  std::unordered_set<std::uint32_t> out;
+  for (const auto& [id, hook] : hooks_)
+    out.insert(hook.spec.match.tenants.begin(), hook.spec.match.tenants.end());
+  for (const auto& [id, job] : jobs_) {
+    if (job.phase == Phase::answer) out.insert(job.subject.tenant);
+  }
+  return out;
+}
+
 std::vector<Status> Control::status() const {
   std::vector<Status> out;
   for (const auto& [id, hook] : hooks_) {
--- a/src/hooks/control.hpp
+++ b/src/hooks/control.hpp
@@ -11,6 +11,7 @@
 #include <queue>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <variant>
 #include <vector>
 
@@ -80,6 +81,9 @@
   std::vector<std::string> said;  // for the log
 
   [[nodiscard]] std::vector<Status> status() const;
+  // Tenants that hooks are for, and that calls of phase answer are about; those of requests inside are not
+  // told.
+  [[nodiscard]] std::unordered_set<std::uint32_t> tenants() const;
   [[nodiscard]] std::size_t inside() const { return owners_.size(); }
   [[nodiscard]] std::size_t jobs() const { return jobs_.size(); }
 
--- a/src/hooks/machine.cpp
+++ b/src/hooks/machine.cpp
@@ -152,7 +152,7 @@
   std::size_t used = 0, peak = 0, most = 0,
               fresh = 0;  // bytes; `fresh`: newly held since the clock was looked at
   lua_State* lua = nullptr;
-  Words words;
+  std::shared_ptr<const Words> words;
   Store* store = nullptr;
   int view_methods = LUA_NOREF, keys[kKeys]{}, handlers[kPhases]{LUA_NOREF, LUA_NOREF, LUA_NOREF};
   std::unordered_map<JobId, Call> calls;
@@ -168,7 +168,7 @@
   bool timed = false, hurried = false;
   std::vector<std::string> said;
 
-  State(const Spec& s, const Words& w) : most(s.memory), words(w), spec(s) {}
+  State(const Spec& s, const Words& w) : most(s.memory), words(std::make_shared<const Words>(w)), spec(s) {}
   ~State() {
     if (lua != nullptr) lua_close(lua);
   }
@@ -494,11 +494,11 @@
     const auto key = lua_isnil(at, -1) ? kKeys : static_cast<Key>(lua_tointeger(at, -1));
     switch (key) {
       case kClass:
-        return push(at, self.words.classes, subject.cls), 1;
+        return push(at, self.words->classes, subject.cls), 1;
       case kTenant:
-        return push(at, self.words.tenants, subject.tenant), 1;
+        return push(at, self.words->tenants, subject.tenant), 1;
       case kFront:
-        return push(at, self.words.fronts, subject.front), 1;
+        return push(at, self.words->fronts, subject.front), 1;
       case kTags:
         lua_createtable(at, static_cast<int>(subject.tags.size()), 0);
         for (std::size_t i = 0; i < subject.tags.size(); ++i) {
@@ -718,6 +718,7 @@
 }
 
 void Machine::remember(Store* store) { state_->store = store; }
+void Machine::know(std::shared_ptr<const Words> words) { state_->words = std::move(words); }
 
 Ran Machine::run(Run run) {
   auto& self = *state_;
--- a/src/hooks/machine.hpp
+++ b/src/hooks/machine.hpp
@@ -31,6 +31,8 @@
   [[nodiscard]] std::string rehearse();
 
   void remember(Store* store);  // of use for all calls from now on
+  // Also for calls that have begun: a position never changes its name while a call is about it.
+  void know(std::shared_ptr<const Words> words);
   // Goes on with the call, or begins it, for a slice.
   [[nodiscard]] Ran run(Run run);
   void drop(JobId job);
--- a/src/hooks/runner.cpp
+++ b/src/hooks/runner.cpp
@@ -6,7 +6,7 @@
 namespace bellstair::hooks {
 
 Runner::Runner(ev::loop_ref loop, Words words, Post post)
-    : words_(std::move(words)), post_(std::move(post)), done_watch_(loop) {
+    : words_(std::make_shared<const Words>(std::move(words))), post_(std::move(post)), done_watch_(loop) {
   done_watch_.set<Runner, &Runner::on_done>(this);
 }
 
@@ -26,10 +26,16 @@
     auto& store = stores_.try_emplace(spec.name, spec.state).first->second;
     store.bound(spec.state);
     loaded.machines[i]->remember(&store);
+    loaded.machines[i]->know(words_);  // those that it was made with may be of an older version
     held_[spec.id] = {spec, std::move(loaded.machines[i])};
   }
 }
 
+void Runner::know(Words words) {
+  words_ = std::make_shared<const Words>(std::move(words));
+  for (auto& [id, held] : held_) held.machine->know(words_);
+}
+
 void Runner::later(std::function<std::function<void()>()> work) {
   if (!thread_.joinable()) {
     done_watch_.start();
@@ -88,14 +94,15 @@
 void Runner::run(const Renew& renew) {
   const auto found = held_.find(renew.hook);
   if (found == held_.end()) return;
-  later([this, spec = found->second.spec]() -> std::function<void()> {
+  later([this, spec = found->second.spec, words = words_]() -> std::function<void()> {
     auto problem = std::make_shared<std::string>();
-    std::shared_ptr<Machine> fresh = Machine::make(spec, words_, kMostLoad, *problem);
+    std::shared_ptr<Machine> fresh = Machine::make(spec, *words, kMostLoad, *problem);
     return [this, problem, fresh, id = spec.id] {
       const auto held = held_.find(id);
       if (held == held_.end()) return;
       if (fresh) {
         fresh->remember(&stores_.at(held->second.spec.name));
+        fresh->know(words_);
         held->second.machine = fresh;
       }
       post_(core::HookRenewed{{id, *problem}});
--- a/src/hooks/runner.hpp
+++ b/src/hooks/runner.hpp
@@ -19,12 +19,13 @@
 class Runner {
  public:
   using Post = std::function<void(core::Event)>;
-  Runner(ev::loop_ref loop, Words words, Post post);
+  Runner(ev::loop_ref loop, Words words, Post post);  // the words are never changed, only replaced
   ~Runner();
   Runner(const Runner&) = delete;
   Runner& operator=(const Runner&) = delete;
 
-  [[nodiscard]] const Words& words() const { return words_; }
+  [[nodiscard]] std::shared_ptr<const Words> words() const { return words_; }
+  void know(Words words);  // for all machines, from now on
   // Takes the machines over; the core is to be told of the set.
   void adopt(Loaded& loaded);
   // `work` in the thread, and what it returns on the loop.
@@ -43,7 +44,7 @@
   void work();
   void on_done(ev::async&, int);
 
-  Words words_;
+  std::shared_ptr<const Words> words_;
   Post post_;
   std::unordered_map<HookId, Held> held_;
   std::unordered_map<std::string, Store> stores_;  // by the hook's name, kept over reloads
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -179,7 +179,7 @@
   const auto given = answer == std::string(1, '\0') ? std::string() : answer;
   if (!same_secret(given, expected)) return refuse(connection, denied(connection.user));
   if (sha2 && !expected.empty()) send(connection, Writer().u8(kMore).u8(kFastDone).take());
-  let_in(connection, names_.tenants.at(user->tenant));
+  let_in(connection, user->tenant);
 }
 
 void Front::look_up(Connection& connection, const std::string& password) {
@@ -194,11 +194,12 @@
       return refuse(asker,
                     {kDirectoryDown, "HY000", "the directory of users can't be reached; try again later"});
     let_in(asker, verdict.tenant);
-    take(asker);
+    if (asker.phase == Phase::idle) take(asker);
   });
 }
 
-void Front::let_in(Connection& connection, std::uint32_t tenant) {
+void Front::let_in(Connection& connection, const std::string& tenant) {
+  if (!names_.tenants.contains(tenant)) return refuse(connection, denied(connection.user));
   connection.tenant = tenant;
   connection.phase = Phase::idle;
   send(connection, write_ok());
@@ -265,8 +266,11 @@
   if (word.empty()) return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
   // What drivers set when they connect is about a session, and a broker has none.
   if (word == "set") return send(connection, write_ok());
+  // The settings may have lost it since the login.
+  const auto tenant = names_.tenants.find(connection.tenant);
+  if (tenant == names_.tenants.end()) return send_error(connection, denied(connection.user));
   try {
-    auto asked = map_statement(text, values, attributes, connection.tenant, names_, settings_);
+    auto asked = map_statement(text, values, attributes, tenant->second, names_, settings_);
     char ticket[17];
     std::snprintf(ticket, sizeof ticket, "%016llx", static_cast<unsigned long long>(tickets_()));
     asked.ticket = ticket;
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -58,8 +58,8 @@
     net::Stream stream;
     PacketReader reader{kMostPacket};
     Phase phase = Phase::login;
-    std::string nonce, user;
-    std::uint32_t capabilities = 0, tenant = 0;
+    std::string nonce, user, tenant;  // the tenant by name: it may leave the settings and come back
+    std::uint32_t capabilities = 0;
     std::uint8_t sequence = 0;
     bool taking = false;
     bool closing = false;     // what more comes is dropped; closed once what runs has its answer
@@ -79,7 +79,7 @@
   void log_in(Connection& connection, const std::string& payload);
   void check_password(Connection& connection, const std::string& answer, const std::string& plugin);
   void look_up(Connection& connection, const std::string& password);
-  void let_in(Connection& connection, std::uint32_t tenant);
+  void let_in(Connection& connection, const std::string& tenant);
   void command(Connection& connection, const std::string& payload);
   void prepare(Connection& connection, std::string text);
   void execute(Connection& connection, const std::string& payload);
--- a/src/state.cpp
+++ b/src/state.cpp
@@ -41,6 +41,35 @@
   if (s.retry_budget && s.retry_budget->span <= Time::zero()) bad("retry_budget.span must be above 0");
 }
 
+void check_change(const Settings& from, const Settings& to) {
+  check(to);
+  const auto fixed = [](bool same, const std::string& what) {
+    if (!same)
+      throw std::invalid_argument("heronwell settings: " + what + " can't change in a running gateway");
+  };
+  fixed(from.classes.size() == to.classes.size(), "the number of classes");
+  fixed(from.kinds == to.kinds, "kinds");
+  fixed(from.gateways == to.gateways && from.me == to.me, "gateways");
+  fixed(from.zone == to.zone && from.zones == to.zones, "zones");
+  fixed(from.step == to.step, "step");
+  Settings may = from;  // with all that may differ as it is to be
+  may.tenants = to.tenants;
+  for (std::size_t c = 0; c < to.classes.size(); ++c) {
+    auto& cls = may.classes[c];
+    const auto& wanted = to.classes[c];
+    cls.aim = wanted.aim;
+    cls.give_up = wanted.give_up;
+    cls.worth = wanted.worth;
+    cls.late_share = wanted.late_share;
+    fixed(cls.name == wanted.name, "classes[].name");
+    fixed(cls.threads == wanted.threads, "classes[].threads");
+    fixed(cls.effect == wanted.effect && cls.group == wanted.group && cls.window == wanted.window,
+          "classes[].semantics");
+    fixed(cls == wanted, "classes[].in_order, zones, kinds, aim_stretch or groups");
+  }
+  fixed(may == to, "what is neither a class's aims and worths nor a tenant");
+}
+
 std::string encode(const PeerText& text) {
   std::string bytes = text.reports ? "r" : "o";
   for (const unsigned value : {text.threads, text.rate})
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -144,6 +144,37 @@
   std::map<std::uint64_t, Time> rests_;
 };
 
+// Token buckets by tenant. One beyond the list has no limit.
+class TokenBuckets {
+ public:
+  [[nodiscard]] bool take(std::size_t tenant) {
+    if (tenant >= left_.size()) return true;
+    if (left_[tenant] < 1) return false;
+    left_[tenant] -= 1;
+    return true;
+  }
+  void give_back(std::size_t tenant) {
+    if (tenant < left_.size()) left_[tenant] += 1;
+  }
+  void fill(std::size_t tenant, double amount, double most) {
+    left_[tenant] = std::min(left_[tenant] + amount, most);
+  }
+  // A tenant that is in the same place under the same name has what it had, up to its new bucket's size,
+  // which is burst(tenant) + `slack`; any other begins with burst(tenant).
+  void carry_over(const std::vector<TenantSettings>& from, const std::vector<TenantSettings>& to,
+                  double slack, auto burst) {
+    std::vector<double> left;
+    for (std::size_t t = 0; t < to.size(); ++t) {
+      const bool same = t < from.size() && from[t].name == to[t].name;
+      left.push_back(same ? std::min(left_[t], burst(t) + slack) : burst(t));
+    }
+    left_ = std::move(left);
+  }
+
+ private:
+  std::vector<double> left_;
+};
+
 // The same order of engines for a group at every gateway, from ids alone.
 inline std::uint64_t spread(std::int64_t group, EngineId id) {
   std::uint64_t x = (static_cast<std::uint64_t>(group) << 32) + id + 0x9e3779b97f4a7c15ULL;
@@ -153,6 +184,9 @@
 }
 
 void check(const Settings& settings);  // throws std::invalid_argument naming a senseless field
+// Throws std::invalid_argument also for what a running gateway can't change: all but the classes' aims,
+// give-up times, worths and late shares, and the tenants.
+void check_change(const Settings& from, const Settings& to);
 
 // What gateways tell each other, numbers with their low byte first: 'o', then for each engine its id (4
 // bytes) and own threads there (1); or 'r', the mean of own threads in the time that the message speaks for
