Make the stream to the control nodes a part of the broker

Only where the operator's file has a control block. A version offered is parsed, laid over the start's configuration and put to the core at once, after all that was posted before it; its settings, names, hooks' words and change log are swapped between the events of the fronts. SIGHUP reads beside the loop on copies, and anew if a version has come into force meanwhile.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -116,6 +116,10 @@
                                             *fronts_.mysql, config_.names, config_.settings,
                                             std::move(options), handles_, config_.seed, poster());
   }
+  if (fronts_.control) {
+    control_ = std::make_unique<ControlClient>(loop, *fronts_.control, config_.name, config_.seed,
+                                               [this](const control::Version& version) { offer(version); });
+  }
   for (auto& change : config_.known.changes) {
     change.unix_now = unix_now();
     post(std::move(change));
@@ -144,6 +148,7 @@
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   if (!fronts_file_.empty()) check_.start();
+  if (control_) control_->start();
   loop_.run(0);
 }
 
@@ -157,6 +162,7 @@
   if (mysql_) mysql_->tick(now);
   if (directory_) directory_->tick(now);
   changelog_.tick(now);
+  if (control_) control_->tick(now);
   post(core::Tick{unwritten()});
 }
 
@@ -182,6 +188,7 @@
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
   do {
+    if (control_) control_->settle();
     pump();
     engines_->settle();
     front_->settle();
@@ -222,7 +229,7 @@
   core::SettingsOffered offered;
   offered.epoch = version.place.epoch;
   offered.number = version.place.number;
-  const auto label = "version " + std::to_string(offered.epoch) + '.' + std::to_string(offered.number);
+  const auto label = "version " + control::to_text(version.place);
   try {
     auto document = config::parse_document(version.text, label, config_.names.class_names);
     const auto held = reducer_.tenants_held();
@@ -232,7 +239,7 @@
     offered.changelog = std::move(document.changelog).value_or("");
     offered.names = std::make_shared<const config::Names>(std::move(overlay.names));
   } catch (const std::exception& error) {
-    return settled(version, error.what());
+    return control_->applied(version, error.what());
   }
   offered_ = &version;
   post(std::move(offered));
@@ -240,11 +247,6 @@
   offered_ = nullptr;
 }
 
-void Broker::settled(const control::Version& version, const std::string& problem) {
-  (void)version;
-  (void)problem;
-}
-
 void Broker::run(core::SettingsInForce& effect) {
   ++taken_up_;
   config_.settings = std::move(effect.settings);
@@ -252,10 +254,10 @@
   config_.changelog = std::move(effect.changelog);
   runner_.know(words_of(config_.settings));
   changelog_.follow(config_.changelog);
-  settled(*offered_, {});
+  control_->applied(*offered_, {});
 }
 
-void Broker::run(const core::SettingsRefused& effect) { settled(*offered_, effect.problem); }
+void Broker::run(const core::SettingsRefused& effect) { control_->applied(*offered_, effect.problem); }
 
 // Read whole, and as strictly as at the start, before anything of it is used. Scripts are loaded and tried
 // beside the loop, in a thread that sees copies: versions of the settings come into force meanwhile.
@@ -282,6 +284,7 @@
         if (fronts.mysql != fronts_.mysql) read.fixed.emplace_back("mysql");
         if (fronts.mysql_engines != fronts_.mysql_engines) read.fixed.emplace_back("mysql_engines");
         if (fronts.directory != fronts_.directory) read.fixed.emplace_back("directory");
+        if (fronts.control != fronts_.control) read.fixed.emplace_back("control");
         again->loaded = hooks::load(fronts.hooks, *words);
         for (const auto& problem : again->loaded.problems)
           read.problem += (read.problem.empty() ? "" : "\n") + problem;
@@ -307,6 +310,7 @@
 void Broker::run(const core::CloseFronts&) {
   front_->finish();
   if (mysql_) mysql_->finish();
+  if (control_) control_->stop();
 }
 
 void Broker::run(const core::Exit&) {
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 
+#include "app/control_client.hpp"
 #include "config/config.hpp"
 #include "config/document.hpp"
 #include "config/fronts.hpp"
@@ -52,7 +53,6 @@
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
   [[nodiscard]] bool unwritten() const;
   void offer(const control::Version& version);
-  void settled(const control::Version& version, const std::string& problem);
 
   void run(const core::Answer& effect);
   void run(const core::StartAttempt& effect) { engines_->run(effect); }
@@ -93,6 +93,7 @@
   // Off on the platform.
   std::unique_ptr<directory::Ldap> directory_;
   std::unique_ptr<mysql::Front> mysql_;
+  std::unique_ptr<ControlClient> control_;
   const control::Version* offered_ = nullptr;  // while it is being taken up
   platform::ChangeLog changelog_;
   platform::Peers peers_;
