--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -135,7 +135,7 @@
   Reign reign_;  // on disk: the one that is told
   Reign heard_;  // the newest heard of: the one that is obeyed
   std::optional<Reign> keeping_reign_;
-  Time retry_reign_{};
+  Time retry_reign_ = Time::min();
   std::optional<Version> newest_;  // on disk
   std::string newest_body_;        // its Offer
   std::optional<Version> keeping_;
@@ -143,7 +143,7 @@
   bool keeping_own_ = false;  // it was published here
   std::optional<Version>
       next_;  // from the writer, once the one that is being kept is done or the disk takes it
-  Time retry_version_{};
+  Time retry_version_ = Time::min();
   std::optional<Place> lost_;  // a version of its own that a peer has and its disk has not
   std::map<PeerId, Peer> peers_;
   PeerId upstream_ = 0;  // 0: none
