--- a/tests/control_simulation_test.cpp
+++ b/tests/control_simulation_test.cpp
@@ -3,8 +3,9 @@
 // could break.
 //
 // Of the 100 seeds, 4 are played with 700 brokers and 96 with 60, so that all pass in CI under sanitizers.
-// BELLSTAIR_CONTROL_SEED=17 with --gtest_filter='control_simulation_replay.*' plays one; BELLSTAIR_CONTROL_BROKERS=60
-// sets the size, BELLSTAIR_CONTROL_TRACE=1 prints what is logged and which faults come.
+// BELLSTAIR_CONTROL_SEED=17 with --gtest_filter='ControlSimulationReplay.*' plays one;
+// BELLSTAIR_CONTROL_BROKERS=60 sets the size, BELLSTAIR_CONTROL_TRACE=1 prints what is logged and which
+// faults come.
 //
 // What it does not show: sockets and SQLite (other tests do), a disk that lies, and the writer's disk lost
 // (the design page says what is at risk then).
@@ -765,19 +766,19 @@
   for (const auto& [what, count] : counts) std::cout << "  " << what << ": " << count << "\n";
 }
 
-class control_simulation : public ::testing::TestWithParam<std::uint64_t> {};
+class ControlSimulation : public ::testing::TestWithParam<std::uint64_t> {};
 
-TEST_P(control_simulation, one_seed_with_700_brokers) {
+TEST_P(ControlSimulation, OneSeedWith700Brokers) {
   std::map<std::string, int> counts;
   play(GetParam(), brokers_of(GetParam()), counts);
   tell(counts);
   EXPECT_GT(counts["versions in force"], 2000);
 }
-INSTANTIATE_TEST_SUITE_P(at_size, control_simulation, ::testing::Range<std::uint64_t>(1, 5));
+INSTANTIATE_TEST_SUITE_P(AtSize, ControlSimulation, ::testing::Range<std::uint64_t>(1, 5));
 
-class control_simulation_small : public ::testing::TestWithParam<std::uint64_t> {};
+class ControlSimulationSmall : public ::testing::TestWithParam<std::uint64_t> {};
 
-TEST_P(control_simulation_small, twelve_seeds_with_60_brokers) {
+TEST_P(ControlSimulationSmall, TwelveSeedsWith60Brokers) {
   std::map<std::string, int> counts;
   for (auto seed = GetParam(); seed < GetParam() + 12 && !HasFailure(); ++seed)
     play(seed, brokers_of(seed), counts);
@@ -789,10 +790,10 @@
         "versions spoilt or replayed", "documents published", "documents rejected"})
     EXPECT_GT(counts[fault], 0) << fault;
 }
-INSTANTIATE_TEST_SUITE_P(small, control_simulation_small, ::testing::Range<std::uint64_t>(5, 101, 12));
+INSTANTIATE_TEST_SUITE_P(Small, ControlSimulationSmall, ::testing::Range<std::uint64_t>(5, 101, 12));
 
 // The seed of the environment, where one is named; it must play the same each time.
-TEST(control_simulation_replay, one_seed_plays_the_same_twice) {
+TEST(ControlSimulationReplay, OneSeedPlaysTheSameTwice) {
   const char* seed = std::getenv("BELLSTAIR_CONTROL_SEED");
   const char* brokers = std::getenv("BELLSTAIR_CONTROL_BROKERS");
   const std::uint64_t number = seed == nullptr ? 5 : std::stoull(seed);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -2,6 +2,8 @@
 #include <gtest/gtest.h>
 #include <sqlite3.h>
 #include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <csignal>
@@ -74,7 +76,7 @@
 
 // ---- versions and messages
 
-TEST(control_version, digest_covers_each_part_and_its_length) {
+TEST(ControlVersion, DigestCoversEachPartAndItsLength) {
   const Version good = version(3, 17, "c1", "text");
   EXPECT_TRUE(whole(good));
   EXPECT_EQ(good.digest.size(), 64U);
@@ -107,7 +109,7 @@
           status};
 }
 
-TEST(control_message, each_kind_comes_back_as_it_was) {
+TEST(ControlMessage, EachKindComesBackAsItWas) {
   for (const auto& message : one_of_each()) {
     const auto text = encode(message);
     const auto back = decode(text);
@@ -118,7 +120,7 @@
   EXPECT_TRUE(whole(offer.version));
 }
 
-TEST(control_message, what_is_wrong_is_named_by_its_member) {
+TEST(ControlMessage, WhatIsWrongIsNamedByItsMember) {
   const std::string hello =
       R"({"kind":"hello","protocol":1,"fleet":"f","name":"b","region":"","role":"broker",)"
       R"("reign":{"epoch":1,"writer":"c"},"have":{"epoch":0,"number":0},"digest":""})";
@@ -182,13 +184,13 @@
   EXPECT_NE(error_of(cases.back().first), "none");
 }
 
-TEST(control_message, of_another_protocol_the_number_alone_is_read) {
+TEST(ControlMessage, OfAnotherProtocolTheNumberAloneIsRead) {
   const auto message = decode(R"({"kind":"hello","protocol":2,"fleet":[]})");
   EXPECT_EQ(std::get<Hello>(message).protocol, 2U);
   EXPECT_EQ(error_of(R"({"kind":"hello","protocol":4294967296})").substr(0, 15), "hello.protocol:");
 }
 
-TEST(control_message, texts_are_cleaned_and_cut_but_documents_never) {
+TEST(ControlMessage, TextsAreCleanedAndCutButDocumentsNever) {
   EXPECT_EQ(clean("a\xC3\xA9z", 2), "a");
   EXPECT_EQ(clean("a\xFFz\xE2\x82", 9), "a?z??");
   EXPECT_EQ(clean("\xF0\x9F\x98\x80\xC0\xAF", 9), "\xF0\x9F\x98\x80??");
@@ -199,7 +201,7 @@
 
 // Bytes changed, cut, doubled, and members put elsewhere: read as a message that can be written again, or
 // Malformed.
-TEST(control_message, mutated_messages_are_read_or_refused) {
+TEST(ControlMessage, MutatedMessagesAreReadOrRefused) {
   std::mt19937_64 random(34);
   std::vector<std::string> seeds;
   for (const auto& message : one_of_each()) seeds.push_back(encode(message));
@@ -319,7 +321,7 @@
   return closed && farewells.size() == 1 && farewells[0].reason.find(reason) != std::string::npos;
 }
 
-TEST(control_node, tells_a_version_only_once_it_is_on_disk) {
+TEST(ControlNode, TellsAVersionOnlyOnceItIsOnDisk) {
   NodeBench b;
   EXPECT_TRUE(logs(b.out, "control node c1: writes, epoch 3"));
   b.greet(kTool, b.hello(Role::tool, "tool"));
@@ -341,7 +343,7 @@
   EXPECT_TRUE(logs(b.out, "control node c1: version 3.1 kept"));
 }
 
-TEST(control_node, a_disk_that_refuses_leaves_the_old_version) {
+TEST(ControlNode, ADiskThatRefusesLeavesTheOldVersion) {
   NodeBench b("c1", {3, "c1"}, {{3, "c1"}, version(3, 7)});
   b.greet(kTool, b.hello(Role::tool, "tool"));
   b.greet(kBroker, b.hello(Role::broker, "b1", {3, "c1"}, {3, 7}, version(3, 7).digest));
@@ -354,7 +356,7 @@
   EXPECT_EQ(sent<Published>(b.out, kTool).at(0).place, (Place{3, 8}));
 }
 
-TEST(control_node, publishes_one_document_at_a_time_and_only_what_passes_the_check) {
+TEST(ControlNode, PublishesOneDocumentAtATimeAndOnlyWhatPassesTheCheck) {
   NodeBench b;
   b.greet(kTool, b.hello(Role::tool, "tool"));
   b.greet(kOther, b.hello(Role::tool, "other"));
@@ -372,7 +374,7 @@
   EXPECT_EQ(b.node->newest()->text, "one");
 }
 
-TEST(control_node, a_document_too_long_on_the_wire_is_rejected) {
+TEST(ControlNode, ADocumentTooLongOnTheWireIsRejected) {
   NodeBench b;
   b.greet(kTool, b.hello(Role::tool, "tool"));
   const Publish publish{std::string((kMostMessage - 40) / 6, '\x01')};  // six bytes each in JSON
@@ -382,14 +384,14 @@
   EXPECT_TRUE(all_of<KeepVersion>(b.out).empty());
 }
 
-TEST(control_node, numbers_go_on_across_epochs) {
+TEST(ControlNode, NumbersGoOnAcrossEpochs) {
   NodeBench b("c2", {4, "c2"}, {{3, "c1"}, version(3, 17)});
   b.greet(kTool, b.hello(Role::tool, "tool"));
   EXPECT_EQ(sent<Published>(b.publish("x"), kTool).at(0).place, (Place{4, 18}));
   EXPECT_EQ(b.node->newest()->writer, "c2");
 }
 
-TEST(control_node, sends_one_offer_at_a_time_and_then_the_newest) {
+TEST(ControlNode, SendsOneOfferAtATimeAndThenTheNewest) {
   NodeBench b;
   b.greet(kTool, b.hello(Role::tool, "tool"));
   b.greet(kBroker, b.hello(Role::broker, "b1"));
@@ -404,7 +406,7 @@
   EXPECT_TRUE(b.out.empty());
 }
 
-TEST(control_node, a_follower_keeps_what_its_writer_offers_before_it_serves_it) {
+TEST(ControlNode, AFollowerKeepsWhatItsWriterOffersBeforeItServesIt) {
   NodeBench b("c2", {3, "c1"});
   EXPECT_TRUE(logs(b.out, "control node c2: follows c1, epoch 3"));
   EXPECT_EQ(b.node->upstream(), "c1");
@@ -433,7 +435,7 @@
   EXPECT_TRUE(b.say(kUpstream, Offer{version(2, 99, "c9")}).empty());
 }
 
-TEST(control_node, a_follower_refuses_damaged_versions_and_second_writers) {
+TEST(ControlNode, AFollowerRefusesDamagedVersionsAndSecondWriters) {
   const auto offer = [](Version bad, const std::string& reason) {
     NodeBench b("c2", {3, "c1"}, {{3, "c1"}, version(3, 4)});
     b.dial(kUpstream, "c1", {3, "c1"});
@@ -448,7 +450,7 @@
   offer(version(4, 5, "c9"), "newer epoch");
 }
 
-TEST(control_node, takes_versions_from_its_writer_alone) {
+TEST(ControlNode, TakesVersionsFromItsWriterAlone) {
   NodeBench b("c2", {3, "c1"});
   b.greet(kOther, b.hello(Role::node, "c1"));
   EXPECT_TRUE(refused(b.say(kOther, Offer{version(3, 5)}), kOther, "may not send"));
@@ -459,7 +461,7 @@
   EXPECT_TRUE(refused(b.say(kUpstream + 10, Offer{version(3, 5)}), kUpstream + 10, "before its first"));
 }
 
-TEST(control_node, a_newer_reign_stops_a_writer_at_once_and_is_told_once_on_disk) {
+TEST(ControlNode, ANewerReignStopsAWriterAtOnceAndIsToldOnceOnDisk) {
   NodeBench b;
   b.greet(kTool, b.hello(Role::tool, "tool"));
   b.greet(kBroker, b.hello(Role::broker, "b1"));
@@ -482,7 +484,7 @@
   EXPECT_EQ(sent<Pong>(b.say(kBroker, Ping{}), kBroker).at(0).reign, (Reign{4, "c2"}));
 }
 
-TEST(control_node, a_restarted_writer_of_an_older_epoch_does_not_write) {
+TEST(ControlNode, ARestartedWriterOfAnOlderEpochDoesNotWrite) {
   NodeBench b("c1", {3, "c1"}, {{4, "c2"}, version(3, 9)});
   EXPECT_FALSE(b.node->writes());
   EXPECT_EQ(b.node->upstream(), "c2");
@@ -490,7 +492,7 @@
   EXPECT_TRUE(all_of<KeepReign>(b.out).empty());
 }
 
-TEST(control_node, writes_only_where_its_own_file_names_it) {
+TEST(ControlNode, WritesOnlyWhereItsOwnFileNamesIt) {
   NodeBench b("c2", {3, "c1"});
   b.greet(kBroker, b.hello(Role::broker, "b1", {4, "c2"}));
   b.keep_reigns();
@@ -501,7 +503,7 @@
   EXPECT_TRUE(b.node->writes());
 }
 
-TEST(control_node, a_second_writer_of_one_epoch_is_refused_and_logged) {
+TEST(ControlNode, ASecondWriterOfOneEpochIsRefusedAndLogged) {
   NodeBench b;
   b.greet(kOther, b.hello(Role::node, "c2", {3, "c2"}));
   EXPECT_TRUE(refused(b.out, kOther, "epoch 3 has two writers: c1 here, c2 there"));
@@ -523,7 +525,7 @@
   EXPECT_EQ(follower.node->upstream(), "c1");
 }
 
-TEST(control_node, a_follower_leaves_a_writer_of_an_older_epoch) {
+TEST(ControlNode, AFollowerLeavesAWriterOfAnOlderEpoch) {
   NodeBench b("c3", {4, "c1"});
   b.dial(kUpstream, "c1", {3, "c1"});
   EXPECT_TRUE(refused(b.out, kUpstream, "epoch 3 only"));
@@ -532,7 +534,7 @@
   EXPECT_TRUE(refused(b.say(kUpstream + 10, Pong{{3, "c1"}}), kUpstream + 10, "epoch 3 only"));
 }
 
-TEST(control_node, the_operators_file_names_another_writer) {
+TEST(ControlNode, TheOperatorsFileNamesAnotherWriter) {
   NodeBench b("c2", {3, "c1"}, {{3, "c1"}, version(3, 9)});
   b.dial(kUpstream, "c1", {3, "c1"});
   auto options = b.options;
@@ -551,7 +553,7 @@
   EXPECT_TRUE(logs(b.out, "control node c2: writes, epoch 4"));
 }
 
-TEST(control_node, a_writer_without_its_disk_does_not_write_over_its_own_epoch) {
+TEST(ControlNode, AWriterWithoutItsDiskDoesNotWriteOverItsOwnEpoch) {
   NodeBench b;
   b.greet(kTool, b.hello(Role::tool, "tool"));
   b.greet(kBroker, b.hello(Role::broker, "b1", {3, "c1"}, {3, 17}, version(3, 17).digest));
@@ -559,7 +561,7 @@
   EXPECT_NE(sent<Rejected>(b.say(kTool, Publish{"x"}), kTool).at(0).problem.find("3.17"), std::string::npos);
 }
 
-TEST(control_node, refuses_strangers_by_name) {
+TEST(ControlNode, RefusesStrangersByName) {
   NodeBench b;
   PeerId id = 10;
   const auto refuses = [&](const std::string& body, const std::string& reason) {
@@ -583,7 +585,7 @@
   refuses(encode(Publish{"x"}), "before its first");
 }
 
-TEST(control_node, each_role_may_send_its_own_messages_only) {
+TEST(ControlNode, EachRoleMaySendItsOwnMessagesOnly) {
   const std::vector<Message> all = one_of_each();
   for (const Role role : {Role::broker, Role::node, Role::tool}) {
     for (const auto& message : all) {
@@ -600,7 +602,7 @@
   }
 }
 
-TEST(control_node, drops_silent_peers_and_those_without_hello) {
+TEST(ControlNode, DropsSilentPeersAndThoseWithoutHello) {
   NodeBench b;
   b.node->accepted(b.now, kOther, b.out);
   b.greet(kBroker, b.hello(Role::broker, "b1"));
@@ -618,7 +620,7 @@
   EXPECT_EQ(all_of<Close>(follower.tick(Node::kUpstreamSilence - Node::kPing)).at(0).peer, kUpstream);
 }
 
-TEST(control_node, remembers_brokers_within_bounds) {
+TEST(ControlNode, RemembersBrokersWithinBounds) {
   NodeBench b;
   Hello hello = b.hello(Role::broker, "");
   b.greet(kBroker, b.hello(Role::broker, "stays"));
@@ -637,7 +639,17 @@
   EXPECT_TRUE(names.contains(hello.name));
 }
 
-TEST(control_node, the_status_of_thousands_with_long_problems_fits_a_message) {
+TEST(ControlNode, ConnectionsAreBounded) {
+  NodeBench b;
+  for (PeerId id = 100; id < 100 + Node::kMostPeers; ++id) b.node->accepted(b.now, id, b.out);
+  b.out.clear();
+  b.node->accepted(b.now, 50, b.out);
+  EXPECT_TRUE(refused(b.out, 50, "full"));
+  b.node->closed(b.now, 100, b.out);
+  EXPECT_EQ(sent<Welcome>(b.greet(50, b.hello(Role::broker, "b1")), 50).size(), 1U);
+}
+
+TEST(ControlNode, TheStatusOfThousandsWithLongProblemsFitsAMessage) {
   NodeBench b;
   for (std::size_t i = 0; i < 4000; ++i) {
     const PeerId id = 100 + i;
@@ -705,7 +717,7 @@
   SubscriberEffects out;
 };
 
-TEST(control_subscriber, takes_its_own_region_first_and_spreads_over_it) {
+TEST(ControlSubscriber, TakesItsOwnRegionFirstAndSpreadsOverIt) {
   SubscriberBench b;
   std::map<std::size_t, int> firsts;
   int moved = 0;
@@ -727,7 +739,7 @@
   EXPECT_NEAR(moved, 233, 60);
 }
 
-TEST(control_subscriber, offers_its_last_version_without_any_node) {
+TEST(ControlSubscriber, OffersItsLastVersionWithoutAnyNode) {
   SubscriberBench b(version(3, 17));
   ASSERT_EQ(all_of<OfferVersion>(b.out).size(), 1U);
   const auto dial = b.out;
@@ -747,7 +759,7 @@
   EXPECT_FALSE(damaged.dialled().empty());
 }
 
-TEST(control_subscriber, offers_versions_in_rising_order_and_reports_them) {
+TEST(ControlSubscriber, OffersVersionsInRisingOrderAndReportsThem) {
   SubscriberBench b;
   EXPECT_TRUE(says(b.connect(), "control: connected to c"));
   EXPECT_EQ(all_of<OfferVersion>(b.say(Offer{version(3, 5)})).size(), 1U);
@@ -765,7 +777,7 @@
   EXPECT_EQ(all_of<OfferVersion>(b.out).at(0).version.place, (Place{3, 8}));
 }
 
-TEST(control_subscriber, refuses_damaged_versions_old_epochs_and_second_writers) {
+TEST(ControlSubscriber, RefusesDamagedVersionsOldEpochsAndSecondWriters) {
   const auto offer = [](Version bad, const std::string& reason) {
     SubscriberBench b(version(3, 4));
     const auto dial = b.out;
@@ -792,7 +804,7 @@
   EXPECT_TRUE(says(b.say(Pong{{4, "c1"}}), "knows of epoch 4 only"));
 }
 
-TEST(control_subscriber, a_refused_version_stays_reported_until_a_newer_one_is_in_force) {
+TEST(ControlSubscriber, ARefusedVersionStaysReportedUntilANewerOneIsInForce) {
   SubscriberBench b;
   b.connect();
   b.say(Offer{version(3, 5)});
@@ -813,7 +825,7 @@
   EXPECT_EQ(sent<Report>(b.out).at(0).refused, Place{});
 }
 
-TEST(control_subscriber, moves_on_from_silent_nodes_and_backs_off_between_rounds) {
+TEST(ControlSubscriber, MovesOnFromSilentNodesAndBacksOffBetweenRounds) {
   SubscriberBench b;
   std::vector<std::string> tried{b.dialled()};
   for (int i = 0; i < 3; ++i) {
@@ -850,7 +862,7 @@
   EXPECT_NE(b.dialled(), b.options.nodes[*on].name);
 }
 
-TEST(control_subscriber, tells_a_farewell_once) {
+TEST(ControlSubscriber, TellsAFarewellOnce) {
   SubscriberBench b;
   int told = 0;
   for (int i = 0; i < 40; ++i) {
@@ -865,7 +877,7 @@
   EXPECT_EQ(told, 4);  // by each node
 }
 
-TEST(control_subscriber, a_node_that_breaks_soon_after_its_welcome_does_not_reset_the_back_off) {
+TEST(ControlSubscriber, ANodeThatBreaksSoonAfterItsWelcomeDoesNotResetTheBackOff) {
   SubscriberBench b;
   int dials = 0;
   const Time until = b.now + 60s;
@@ -882,7 +894,7 @@
   EXPECT_LT(dials, 120);  // four a round, 60 s of waits that grow to 4 s
 }
 
-TEST(control_subscriber, goes_home_after_a_drawn_time) {
+TEST(ControlSubscriber, GoesHomeAfterADrawnTime) {
   SubscriberBench b;
   const auto home = b.dialled();
   b.out.clear();
@@ -896,7 +908,7 @@
   EXPECT_EQ(b.dialled(), home);
 }
 
-TEST(control_subscriber, refuses_hostile_nodes) {
+TEST(ControlSubscriber, RefusesHostileNodes) {
   const auto refuses = [](const std::string& body, const std::string& reason) {
     SubscriberBench b;
     b.out.clear();
@@ -916,7 +928,7 @@
 
 // ---- store
 
-class control_store : public ::testing::Test {
+class ControlStore : public ::testing::Test {
  protected:
   void SetUp() override {
     std::string pattern = (std::filesystem::temp_directory_path() / "bellstair-control-XXXXXX").string();
@@ -956,7 +968,7 @@
   std::filesystem::path directory_, path_;
 };
 
-TEST_F(control_store, holds_what_it_kept) {
+TEST_F(ControlStore, HoldsWhatItKept) {
   {
     Store store(path_, "tunis");
     EXPECT_FALSE(store.stored().newest);
@@ -980,7 +992,7 @@
   EXPECT_TRUE(std::filesystem::is_regular_file(path_));
 }
 
-TEST_F(control_store, keeps_a_bounded_history) {
+TEST_F(ControlStore, KeepsABoundedHistory) {
   {
     Store store(path_, "tunis", 3);
     for (std::uint64_t i = 1; i <= 10; ++i) EXPECT_EQ(store.keep(version(3, i)), "");
@@ -989,7 +1001,7 @@
   EXPECT_EQ(Store(path_, "tunis").stored().newest, version(3, 10));
 }
 
-TEST_F(control_store, refuses_what_is_not_its_own) {
+TEST_F(ControlStore, RefusesWhatIsNotItsOwn) {
   fill(2);
   EXPECT_NE(unusable("sfax").find("of fleet tunis, this one is sfax"), std::string::npos);
   sql("PRAGMA user_version=9");
@@ -1006,7 +1018,7 @@
   EXPECT_NE(unusable().find("cannot be used"), std::string::npos);
 }
 
-TEST_F(control_store, a_second_opening_is_refused_while_the_first_holds_it) {
+TEST_F(ControlStore, ASecondOpeningIsRefusedWhileTheFirstHoldsIt) {
   {
     Store store(path_, "tunis");
     EXPECT_NE(unusable().find("in use by another process"), std::string::npos);
@@ -1017,7 +1029,7 @@
 
 // A byte changed anywhere, or the end cut off: refused with the file's name and left as it is, or every
 // version is as it was kept (free space, and bytes that SQLite does not use).
-TEST_F(control_store, damage_is_refused_and_left_as_it_is) {
+TEST_F(ControlStore, DamageIsRefusedAndLeftAsItIs) {
   fill(8);
   const std::string good = bytes();
   ASSERT_GT(good.size(), 320'000U);
@@ -1050,8 +1062,40 @@
   EXPECT_NE(unusable().find("the reign's digest"), std::string::npos);
 }
 
+// Killed in the middle of writing: what keep() has returned for is there, and the file is whole.
+TEST_F(ControlStore, WhatWasKeptOutlivesAKilledProcess) {
+  std::mt19937_64 random(11);
+  std::uint64_t least = 0;
+  for (int round = 0; round < 12; ++round) {
+    int told[2];
+    ASSERT_EQ(::pipe(told), 0);
+    const auto child = ::fork();
+    ASSERT_GE(child, 0);
+    if (child == 0) {
+      Store store(path_, "tunis", 20);
+      for (auto next = store.stored().newest ? store.stored().newest->place.number + 1 : 1;; ++next) {
+        if (!store.keep(version(3, next, "c1", std::string(20'000, 'x'))).empty()) ::_exit(1);
+        if (::write(told[1], &next, sizeof next) != sizeof next) ::_exit(1);
+      }
+    }
+    ::close(told[1]);
+    std::uint64_t last = 0;
+    for (auto acks = 1 + random() % 15; acks > 0; --acks)
+      ASSERT_EQ(::read(told[0], &last, sizeof last), sizeof last);
+    ::kill(child, SIGKILL);
+    ASSERT_EQ(::waitpid(child, nullptr, 0), child);
+    ::close(told[0]);
+    EXPECT_GT(last, least);
+    Store store(path_, "tunis");
+    ASSERT_TRUE(store.stored().newest);
+    EXPECT_GE(store.stored().newest->place.number, last);
+    EXPECT_LE(store.versions(), 20U);
+    least = store.stored().newest->place.number;
+  }
+}
+
 // The kernel refuses to let the file grow: as a full disk does.
-TEST_F(control_store, a_full_disk_is_told_and_the_old_version_stays) {
+TEST_F(ControlStore, AFullDiskIsToldAndTheOldVersionStays) {
   fill(2);
   Store store(path_, "tunis");
   const auto before = ::signal(SIGXFSZ, SIG_IGN);
