--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 CONFIG ?= $(BALANCER_CONFIG)
 JOBS ?= 4
 
-.PHONY: deps build test bench lint regress run clean
+.PHONY: deps build test bench scale lint regress run clean
 
 # Installs what is missing of deploy/packages.txt (as root).
 deps:
@@ -27,6 +27,14 @@
 	build-bench/benchmarks/hooks_cost --benchmark_repetitions=5 --benchmark_report_aggregates_only=true
 	build-bench/benchmarks/hooks_isolation
 
+# How costs grow with the deployment's size; raw results for docs/CAPACITY.md. Under 10 minutes once it is built, or under 2
+# with QUICK=1, which leaves the committed file as it is. All on loopback; stops by itself.
+scale:
+	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBELLSTAIR_BENCHMARKS=ON
+	cmake --build build-bench -j$(JOBS) --target scale_slopes
+	timeout $(if $(QUICK),120,600) build-bench/benchmarks/scale/scale_slopes \
+	  $(if $(QUICK),build-bench/scale-quick.csv quick,benchmarks/scale/results.csv)
+
 lint:
 	@lines=$$(grep -c '[^[:space:]]' src/choice.cpp); echo "src/choice.cpp: $$lines non-blank lines"; test $$lines -le 1060
 	@! grep -nE '^.{111,}' src/choice.cpp
