--- a/benchmarks/scale/stand_ins.hpp
+++ b/benchmarks/scale/stand_ins.hpp
@@ -24,6 +24,9 @@
 struct SeenByChangeLog {
   std::atomic<std::uint32_t> port, held, most, events_per_second;  // the last one: set from outside
   std::atomic<std::uint64_t> calls, dials, bytes_in, bytes_out, events;
+  // From an event until the last caller had taken it, as its next call tells: how often seen, us in all, and
+  // most.
+  std::atomic<std::uint64_t> spread, spread_us, spread_most_us;
 };
 struct SeenByClients {
   std::atomic<std::uint32_t> rate, held, opened;  // rate, a second: set from outside
