--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -483,7 +483,8 @@
 
 # A figure of the page: the sum of series at the size to plan with, or at `size`. `of`: (suite, axis, role,
 # measure) and how it is taken: "" as it is, "*NAME" or "/NAME" times or by an operators' figure, "at N" at a
-# size of its own, "slope": the line's slope. `limit` names an operators' figure; `least`: that is the least it
+# size of its own, "slope": the line's slope, "among SUITE": played among as many brokers as that suite had.
+# `size` is a number, or a function of the operators. `limit` names an operators' figure; `least`: that is the least it
 # must be, not the most. `glance` has the row's figure in the first table, under these words.
 Row = collections.namedtuple(
     "Row", "role resource label of limit glance size least", defaults=(None, "", None, False)
@@ -516,6 +517,16 @@
 POLLS = [polled("bytes_sent_per_second", "/brokers"), polled("bytes_received_per_second", "/brokers")]
 REDUCER = hollow("control", "processor_per_second")
 TWICE = 6280  # statements a second; the most that is asked of one broker
+FEW_EVENTS = 2  # a second; the fewest that are played
+FEW_SOCKETS = 1024  # descriptors; the fewest that are played
+
+
+def of_a_lost_zone(operators):
+    """Connections that come anew to each broker of the other zones."""
+    zones = operators.value("zones")
+    return operators.value("connections") / (operators.value("brokers") * (zones - 1))
+
+
 
 ROWS = [
     # the client side of a broker
@@ -538,6 +549,15 @@
         [real("clients_idle", "connections", "broker", "processor_per_second")], None, "all idle"),
     Row("client", "processor time", "process with each in use once in five seconds",
         [real("clients_used", "connections", "broker", "processor_per_second")]),
+    Row("client", "processor time", "all connections coming at once",
+        [real("clients_connecting", "connections", "broker", "processor_of_all")]),
+    Row("client", "time", "until all connections that came at once are up",
+        [real("clients_connecting", "connections", "client", "time_until_all_connected")]),
+    Row("client", "processor time", "a lost zone's connections coming, at one of the other brokers",
+        [real("clients_connecting", "connections", "broker", "processor_of_all")], None, "", of_a_lost_zone),
+    Row("client", "time", "until a lost zone's connections are up, at one of the other brokers",
+        [real("clients_connecting", "connections", "client", "time_until_all_connected")], None, "",
+        of_a_lost_zone),
     Row("client", "memory", "process with idle connections, resident",
         [real("clients_idle", "connections", "broker", "resident_bytes")]),
     Row("client", "memory", "process with each in use, resident",
@@ -554,6 +574,10 @@
         None, "dials a second"),
     Row("data", "messages", "bytes to databases", [asked("data", "bytes_to_databases_per_second")]),
     Row("data", "messages", "bytes from databases", [asked("data", "bytes_from_databases_per_second")]),
+    Row("data", "messages", "dials a second, with 1,024 descriptors in all",
+        [real("sockets", "sockets", "data", "dials_per_second")], None, "", FEW_SOCKETS),
+    Row("data", "messages", "answered a second, with 1,024 descriptors in all",
+        [real("sockets", "sockets", "client", "answered_per_second")], None, "", FEW_SOCKETS),
     Row("data", "processor time", "process, control included", [asked("broker", "processor_per_second")],
         None, "process"),
     Row("data", "processor time", "process, one statement more",
@@ -611,6 +635,12 @@
         "in the worst second"),
     Row("changelog", "messages", "calls in the worst second, as it comes back",
         [("change_log_return", "brokers", "changelog", "calls_worst_second_back", "")]),
+    Row("changelog", "time", "from an event to the last broker, mean",
+        [real("events", "events", "changelog", "event_to_last_broker_mean", "among real_brokers_idle")], None, "",
+        FEW_EVENTS),
+    Row("changelog", "time", "from an event to the last broker, the most",
+        [real("events", "events", "changelog", "event_to_last_broker_most", "among real_brokers_idle")],
+        "primary_limit", "", FEW_EVENTS),
     Row("changelog", "state", "brokers not back after ten seconds",
         [("change_log_return", "brokers", "changelog", "not_back_after_10s", "")]),
     # the operator
@@ -666,8 +696,8 @@
          "reducer's ticks, datagrams, events; and an idle process: ticks count twice"),
     Need("control_bytes", "control, bytes", "datagrams told and heard, with their heads, and the long poll"),
     Need("control_memory", "control, memory", "an idle process, resident, all that it is"),
-    Need("primary_limit", "a change of primary over at all brokers", None,
-         "the long poll tells each; not timed"),
+    Need("primary_limit", "a change of primary told to all brokers",
+         "from an event to the last broker, the most", "not known: fewer brokers, one machine"),
     Need(None, "connections at a database", "connections held at each, all brokers together",
          "grows with brokers; a bound is owed", "no limit"),
     Need("regions", "regions that lose each other", None, "not played"),
@@ -684,7 +714,8 @@
             + " connections a day come anew, if all were brokers"),
     Failure("a day", "a primary changes", "primary_changes",
             lambda o: f"an event of the change log at each of {plain(o.value('brokers'))} brokers",
-            ("one event of the change log, process", "one event of the change log, reducer")),
+            ("one event of the change log, process", "one event of the change log, reducer"),
+            ("from an event to the last broker, the most",)),
     Failure("a day", "a change of configuration", "config_changes",
             lambda o: plain(o.value("config_changes") * o.value("brokers"))
             + " files and SIGHUPs a day, by hand",
@@ -693,7 +724,10 @@
     Failure("a few a year", "a zone goes", None,
             lambda o: f"{plain(o.value('brokers') / o.value('zones'))} brokers, "
                       f"{plain(o.value('databases') / o.value('zones'))} databases, "
-                      f"{plain(o.value('connections') / o.value('zones'))} connections come anew"),
+                      f"{plain(o.value('connections') / o.value('zones'))} connections come anew, "
+                      f"{plain(of_a_lost_zone(o))} to each other broker",
+            ("a lost zone's connections coming, at one of the other brokers",),
+            ("until a lost zone's connections are up, at one of the other brokers",)),
     Failure("now and then", "regions lose each other for an hour", None,
             lambda o: f"{plain(o.value('brokers') / o.value('regions'))} brokers on each side"),
     Failure("not said", "the change log is away, and comes back", None,
@@ -739,14 +773,15 @@
         if taken.startswith("at "):
             return float(taken[3:])
         if row is not None and row.size is not None:
-            return row.size
+            return row.size(self.operators) if callable(row.size) else row.size
         name = SIZES.get(key.axis, (None,))[0]
         return self.operators.value(name) if name else self.fits[key].sizes[-1]
 
     def find(self, row):
         """[(key, how it is taken)] of a row, or none unless all were measured."""
         keys = [(Key(*of[:4]), of[4]) for of in row.of]
-        there = all(key in self.fits for key, _ in keys)
+        there = all(key in self.fits and (not taken.startswith("among ") or taken[6:] in self.suites)
+                    for key, taken in keys)
         return keys if there and all(t != "slope" or self.fits[k].slope is not None for k, t in keys) else []
 
     def one(self, row, key, taken, part=1.0):
@@ -783,14 +818,18 @@
     def beyond(self, row):
         out = []
         for key, taken in self.find(row):
-            if taken == "slope":
-                out.append(self.fits[key].beyond(self.size(key)))
+            size = self.size(key) if taken == "slope" else self.size(key, row, taken)
+            if taken.startswith("*"):  # what one broker showed is taken times all
+                out.append(self.operators.value(taken[1:]))
+            elif taken.startswith("among "):
+                out.append(max(1.0, self.operators.value("brokers") / self.most_brokers(taken[6:])))
             else:
-                # What one broker showed is taken times all.
-                out.append(self.operators.value(taken[1:]) if taken.startswith("*") else
-                           self.fits[key].beyond(self.size(key, row, taken)))
+                out.append(self.fits[key].beyond(size))
         return max(out, default=None)
 
+    def most_brokers(self, suite):
+        return max(fit.sizes[-1] for key, fit in self.fits.items() if key[:2] == (suite, "brokers"))
+
     def growth(self, row):
         """How a row grows along its axes."""
         out = []
@@ -800,6 +839,8 @@
             if taken == "slope":
                 error = "?" if fit.slope_error is None else shown(*self.in_base(fit.slope_error, key, True))
                 out.append(f"± {error}, {fit.told()}")
+            elif taken.startswith("among "):
+                out.append(f"played among {size_text(self.most_brokers(taken[6:]))} brokers")
             elif taken.startswith("*"):
                 out.append(f"as brokers, taken {plain(self.operators.value(taken[1:]))} times")
             elif fit.shape in ("flat", "one size"):
@@ -863,6 +904,10 @@
                 where = f"{'not up to' if part >= 1 else 'at'} {plain(part)} times the size"
                 verdict = "holds" if part >= 1 else "breaks"
                 out.append((part, [need.what, self.text(row), limit, where, verdict]))
+            elif need.where:
+                good, _ = self.held(row)
+                out.append((LOOKED if good else 1.0, [need.what, self.text(row), limit, need.where,
+                                                      "holds" if good else "breaks"]))
             else:
                 at = self.breaks_at(row)
                 where = (f"not up to {LOOKED} times the size" if at is None else
@@ -897,7 +942,7 @@
                 if rows:  # the one nearest to its limit, or beyond it
                     worst = max(rows, key=self.strain)
                     good, words = self.held(worst)
-                    out.append(words if good else f"NOT HELD: {words}")
+                    out.append(words if good else f"NOT HELD: {words} ({worst.label})")
             if self.roles[role].lacks:
                 out.append(f"missing: {self.roles[role].lacks}")
             return "; ".join(out) or "no limit stated"
@@ -952,6 +997,10 @@
                             size_text(self.size(key)), plain(fit.beyond(self.size(key))), fit.told()])
         for row in self.all_rows:
             for key, taken in self.find(row):
+                if taken.startswith("among ") and self.beyond(row) > 1:
+                    most = self.most_brokers(taken[6:])
+                    size = self.operators.value("brokers")
+                    out.append([row.label, size_text(most), size_text(size), plain(size / most), "taken as it is"])
                 if taken.startswith("*"):
                     times = self.operators.value(taken[1:])
                     out.append([f"{row.label}: from one broker", "1", size_text(times), plain(times),
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -274,7 +274,8 @@
             '| 0.27% of a core | 22.5% of "1.2% of a core" | line, 1 us/s ± 0 a broker; line, 10 us/s ± 0 a stat',
             # twice 11 KB, and 160 bytes of the long poll's for each broker
             'and the long poll | 22.2 KB/s | 106% of "21 KB a second" | flat; in all: line, ',
-            'NOT HELD: 106% of "21 KB a second"; 22.5% of "1.2% of a core"',
+            'NOT HELD: 106% of "21 KB a second" (datagrams told and heard, with their heads, and the long poll); '
+            '22.5% of "1.2% of a core"',
             "| process, one statement more | 10 us | - | ± 0 s, line | 1 |",
             # five at each database from one broker
             "all brokers together | 3,500 | - | as brokers, taken 700 times | 700 |",
