--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -1,13 +1,15 @@
 """Tests of benchmarks/scale/capacity.py. All results here are made up."""
 
+import contextlib
 import importlib.util
-import json
+import io
 import os
 import random
 import subprocess
 import sys
 import tempfile
 import unittest
+from unittest import mock
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 SCRIPT = os.path.join(ROOT, "benchmarks", "scale", "capacity.py")
@@ -60,6 +62,7 @@
     def test_no_growth_is_flat(self):
         self.assertEqual(fit([(10, 5), (100, 5), (300, 5), (700, 5)]).shape, "flat")
         self.assertEqual(fit([(10, 0), (100, 0), (300, 0), (700, 0)]).shape, "flat")
+        self.assertEqual(fit([(10, 100), (100, 101), (300, 100), (700, 101)]).at(70000), 101)
         noisy = random.Random(1)
         self.assertEqual(fit([(x, noisy.gauss(100, 30)) for x in range(10, 200, 10)]).shape, "flat")
 
@@ -71,6 +74,14 @@
             with self.subTest(seed=seed):
                 self.assertEqual(capacity.Fit(series(points)).shape, "line")
 
+    def test_a_noisy_square_is_not_taken_for_a_knee(self):
+        told = []
+        for seed in range(100):
+            noise = random.Random(seed)
+            told.append(fit([(x, 10 + 0.01 * x * x + noise.gauss(0, 120))
+                             for x in (10, 100, 200, 300, 400, 500, 600, 700)]).shape)
+        self.assertGreaterEqual(told.count("square"), 95, told)  # by residuals alone: 85
+
     def test_few_sizes_tell_no_bend(self):
         got = fit([(1, 1), (2, 4), (3, 9)])
         self.assertEqual(got.told(), "line, 3 sizes")
@@ -140,6 +151,10 @@
         self.refused(good + "s,a\x00,2,1,r,m,count,3\n", 3, "a control character")
         self.refused(good.encode() + b"s,\xff,2,1,r,m,count,3\n", 3, "not UTF-8")
 
+    def test_a_file_without_end_is_not_read(self):
+        with mock.patch.object(capacity, "MOST_BYTES", 50):
+            self.refused(HEADER + "s,a,1,1,r,m,count,2\n", 0, "larger than 50 bytes")
+
     def test_an_absent_file_is_told(self):
         with self.assertRaisesRegex(capacity.Bad, "absent.csv: No such file"):
             capacity.read_results("/nowhere/absent.csv")
@@ -334,6 +349,22 @@
         self.assertEqual(self.run_it("--operators", self.results).returncode, 2)
         self.assertEqual(self.run_it("--so").returncode, 2)
 
+    def test_a_mechanism_that_the_sources_no_longer_hold_is_told(self):
+        def told(file, name):
+            said = io.StringIO()
+            with mock.patch.dict(capacity.ROLES, {"client": capacity.Role("Client", [(file, name)])}):
+                with contextlib.redirect_stderr(said):
+                    code = capacity.main(["--results", self.results, "--page", self.page, "--check"])
+            return code, said.getvalue()
+
+        self.run_it()
+        code, said = told("src/net/pool.cpp", "Puddle")
+        self.assertEqual(code, 2)
+        self.assertIn("src/net/pool.cpp: Puddle, which the page names, is not here", said)
+        code, said = told("src/net/puddle.cpp", "Pool")
+        self.assertEqual(code, 2)
+        self.assertIn("src/net/puddle.cpp: No such file", said)
+
     def test_the_control_plane_shows_once_it_was_measured(self):
         self.run_it()
         self.assertIn("missing: a control plane", self.text())
