--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -5,8 +5,8 @@
     capacity.py --check    exit 1, with the first line that differs, when the page is not what the files give
     capacity.py --fits     prints the fit of every series of the results
 
-Files: results.csv (long form, written by `make scale`), operators.json (the operators' figures, word for word),
-and the page. Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
+Files: results.csv (long form, written by `make scale`) and, where it lies beside it, control.csv (of the same
+form: the control plane's own runs), operators.json (the operators' figures, word for word), and the page. Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
 
 What is generated stands on the page between <!--begin:NAME--> and <!--end:NAME-->, each on a line of its own,
 or within a line between <!--v:NAME--> and <!--/v-->. All other text is prose, and a number may stand there
@@ -79,10 +79,16 @@
     return value if math.isfinite(value) else None
 
 
-def read_results(path):
-    """{Key: Series} of a file; lines that begin with # are passed by."""
-    text = read_text(path)
-    series, seen, header = {}, {}, False
+def read_results(*paths):
+    """{Key: Series} of the files; lines that begin with # are passed by."""
+    series, seen = {}, {}
+    for path in paths:
+        read_rows(path, series, seen)
+    return {key: series[key].finish() for key in sorted(series)}
+
+
+def read_rows(path, series, seen):
+    text, header, rows = read_text(path), False, 0
     for at, line in enumerate(text.split("\n"), 1):
         line = line.rstrip("\r")
         if not line or line.startswith("#"):
@@ -119,14 +125,14 @@
         place = (key, x, int(row["play"]))
         if place in seen:
             what = f"{'/'.join(key)} at {row['x']}, play {row['play']}"
-            raise Bad(path, at, f"the same as line {seen[place]}: {what}")
-        seen[place] = at
+            raise Bad(path, at, f"the same as {seen[place]}: {what}")
+        seen[place] = f"{path}:{at}"
+        rows += 1
         one.points.append((x, int(row["play"]), y))
     if not header:
         raise Bad(path, 0, "no header")
-    if not series:
+    if not rows:
         raise Bad(path, 0, "no results")
-    return {key: series[key].finish() for key in sorted(series)}
 
 
 class Operators:
@@ -1071,12 +1077,16 @@
     parser = argparse.ArgumentParser(description="Draws docs/CAPACITY.md from the result files.")
     parser.add_argument("--check", action="store_true", help="exit 1 when page and files differ")
     parser.add_argument("--fits", action="store_true", help="print the fit of every series")
-    parser.add_argument("--results", default=os.path.join(here, "results.csv"))
+    parser.add_argument("--results", action="append", help="in place of results.csv and control.csv")
     parser.add_argument("--operators", default=os.path.join(here, "operators.json"))
     parser.add_argument("--page", default=os.path.join(root, "docs", "CAPACITY.md"))
     options = parser.parse_args(argv)
+    results = options.results
+    if not results:
+        control = os.path.join(here, "control.csv")
+        results = [os.path.join(here, "results.csv")] + ([control] if os.path.exists(control) else [])
     try:
-        sheet = Sheet(root, read_results(options.results), Operators(options.operators))
+        sheet = Sheet(root, read_results(*results), Operators(options.operators))
         if options.fits:
             print("\n".join(sheet.every_slope()))
             return 0
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -144,7 +144,7 @@
             self.refused(good + f"s,a,2,1,r,m,count,{value}\n", 3, "no number")
         self.refused(good + "s,a,2,one,r,m,count,3\n", 3, "no number of a play")
         self.refused(good + "s,a,2,1,r,m,bytes,3\n", 3, "unit 'bytes', but 'count'")
-        self.refused(good + "\n# said\ns,a,1.0,1,r,m,count,3\n", 5, "the same as line 2")
+        self.refused(good + "\n# said\ns,a,1.0,1,r,m,count,3\n", 5, ".csv:2: s/a/r/m at 1.0, play 1")
         self.refused(good + "s,,2,1,r,m,count,3\n", 3, "axis: '' is no name")
         self.refused(good + "s,a|b,2,1,r,m,count,3\n", 3, "is no name")
         self.refused(good + 's,"a,2,1,r,m,count,3\n', 3, "not CSV")
@@ -155,6 +155,23 @@
         with mock.patch.object(capacity, "MOST_BYTES", 50):
             self.refused(HEADER + "s,a,1,1,r,m,count,2\n", 0, "larger than 50 bytes")
 
+    def test_two_files_are_one_set_of_results(self):
+        with tempfile.TemporaryDirectory() as folder:
+            paths = [os.path.join(folder, name) for name in ("a.csv", "b.csv")]
+            for path, rows in zip(paths, ("s,a,1,1,r,m,count,2\n", "s,a,2,1,r,m,count,3\nt,a,1,1,r,m,count,4\n")):
+                with open(path, "w", encoding="utf-8") as file:
+                    file.write(HEADER + rows)
+            got = capacity.read_results(*paths)
+            self.assertEqual([(key.suite, one.sizes) for key, one in got.items()], [("s", [1, 2]), ("t", [1])])
+            with self.assertRaisesRegex(capacity.Bad, "b.csv:2: the same as .*a.csv:2: s/a/r/m at 1, play 1"):
+                with open(paths[1], "w", encoding="utf-8") as file:
+                    file.write(HEADER + "s,a,1,1,r,m,count,2\n")
+                capacity.read_results(*paths)
+            with open(paths[1], "w", encoding="utf-8") as file:
+                file.write(HEADER)
+            with self.assertRaisesRegex(capacity.Bad, "b.csv: no results"):
+                capacity.read_results(*paths)
+
     def test_an_absent_file_is_told(self):
         with self.assertRaisesRegex(capacity.Bad, "absent.csv: No such file"):
             capacity.read_results("/nowhere/absent.csv")
