--- a/benchmarks/control_isolation.cpp
+++ b/benchmarks/control_isolation.cpp
@@ -87,7 +87,7 @@
   std::fclose(out);
   std::fprintf(stderr, "p99 with versions to p99 without: %.4f; lost %zu, tools that failed %zu of %zu\n",
                at(took[1], 0.99) / at(took[0], 0.99), lost, failed, versions);
-  for (const auto& path : {store, document, file}) ::unlink(path.c_str());
+  for (const auto& made : {store, document, file}) ::unlink(made.c_str());
   return lost + failed == 0 ? 0 : 1;
 }
 
