Add links with faults between the tests' processes

Tests of several processes need links that can be cut, held one way or both, delayed, reset and healed. Link is one of them, as a relay on a loopback socket; Network owns those of a test, in a thread. What is held comes once it is healed, as TCP would send it again; an end is held too. The common harness tells a process's id, all that it said, and waits for a line from a place on.

--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -201,13 +201,13 @@
     items_.push_back(std::move(item));
     changed_.notify_all();
   }
-  // The first that fits, once it has come.
-  T wait(const std::function<bool(const T&)>& fits) {
+  // The first that fits, from the `from`th on, once it has come.
+  T wait(const std::function<bool(const T&)>& fits, std::size_t from = 0) {
     std::unique_lock lock(mutex_);
     std::optional<T> found;
     changed_.wait_for(lock, kPatience, [&] {
-      for (const auto& item : items_) {
-        if (!found && fits(item)) found = item;
+      for (auto i = from; i < items_.size() && !found; ++i) {
+        if (fits(items_[i])) found = items_[i];
       }
       return found.has_value();
     });
@@ -218,6 +218,10 @@
     const std::lock_guard lock(mutex_);
     return static_cast<std::size_t>(std::count_if(items_.begin(), items_.end(), fits));
   }
+  std::vector<T> all() {
+    const std::lock_guard lock(mutex_);
+    return items_;
+  }
 
  private:
   std::mutex mutex_;
@@ -382,8 +386,12 @@
       wait();
     }
   }
-  std::string said(const std::string& what) {
-    return lines_.wait([&](const std::string& line) { return line.find(what) != std::string::npos; });
+  std::string said(const std::string& what, std::size_t from = 0) {
+    try {
+      return lines_.wait([&](const std::string& line) { return line.find(what) != std::string::npos; }, from);
+    } catch (const std::exception&) {
+      throw std::runtime_error("it was not said: " + what);
+    }
   }
   std::string listens(const std::string& field) {
     const auto line = said("bellstair: " + field + " on ");
@@ -397,9 +405,9 @@
     reader_.join();
     return status;
   }
-  std::size_t lines() {
-    return lines_.count([](const std::string&) { return true; });
-  }
+  std::size_t lines() { return lines_.all().size(); }
+  std::vector<std::string> all_lines() { return lines_.all(); }
+  [[nodiscard]] pid_t pid() const { return pid_; }  // -1 after its end
 
  private:
   pid_t pid_ = -1;
--- /dev/null
+++ b/tests/processes/relay_test.cpp
@@ -0,0 +1,127 @@
+// The tests' own links, on plain sockets: what they claim to do they do.
+#include "relay.hpp"
+
+#include <gtest/gtest.h>
+
+#include "../net/harness.hpp"
+
+namespace bellstair::test {
+namespace {
+
+// Sends back each line, and keeps what has come.
+struct Echo {
+  Log<std::string> lines;
+  Server server{[this](Socket& socket) {
+    while (true) {
+      const auto line = socket.line();
+      lines.add(line);
+      socket.send(line + "\n");
+    }
+  }};
+  Network network;
+  Echo() { network.place("b", server.address()); }
+  Socket dial() { return Socket::to(network.address("a", "b")); }
+  void with(const std::function<void(Link&)>& what) { network.with("a", "b", what); }
+  bool came(const std::string& line) {
+    return lines.count([&](const std::string& l) { return l == line; }) > 0;
+  }
+};
+bool quiet(Socket& socket) {
+  char byte = 0;
+  return ::recv(socket.fd(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && errno == EAGAIN;
+}
+
+TEST(Relay, PassesBothWaysInOrderAndEnds) {
+  Echo echo;
+  auto socket = echo.dial();
+  std::string much;
+  for (int i = 0; i < 20000; ++i) much += "line " + std::to_string(i) + "\n";
+  std::thread sender([&] { EXPECT_TRUE(socket.send(much)); });
+  for (int i = 0; i < 20000; ++i) ASSERT_EQ(socket.line(), "line " + std::to_string(i));
+  sender.join();
+  ::shutdown(socket.fd(), SHUT_WR);
+  EXPECT_TRUE(socket.ended());
+}
+
+TEST(Relay, WhatIsHeldOneWayPassesTheOtherAndComesOnceHealed) {
+  Echo echo;
+  auto socket = echo.dial();
+  socket.send("one\n");
+  EXPECT_EQ(socket.line(), "one");
+  echo.with([](Link& link) { link.hold(Way::down); });
+  socket.send("two\n");
+  echo.lines.wait([](const std::string& line) { return line == "two"; });
+  EXPECT_TRUE(quiet(socket));
+  echo.with([](Link& link) {
+    link.hold(Way::down, false);
+    link.hold(Way::up);
+  });
+  EXPECT_EQ(socket.line(), "two");
+  socket.send("three\n");
+  auto other = echo.dial();  // is taken, and goes nowhere
+  other.send("four\n");
+  EXPECT_TRUE(quiet(other));
+  EXPECT_FALSE(echo.came("three") || echo.came("four"));
+  echo.with([](Link& link) { link.heal(); });
+  EXPECT_EQ(socket.line(), "three");
+  EXPECT_EQ(other.line(), "four");
+}
+
+TEST(Relay, NobodyHearsOfAnEndWhileItIsSilent) {
+  Echo echo;
+  auto socket = echo.dial();
+  socket.send("one\n");
+  EXPECT_EQ(socket.line(), "one");
+  echo.with([](Link& link) { link.silence(); });
+  echo.server.drain();
+  ::shutdown(socket.fd(), SHUT_WR);
+  EXPECT_TRUE(quiet(socket));
+  echo.with([](Link& link) { link.heal(); });
+  EXPECT_TRUE(socket.ended());
+}
+
+TEST(Relay, CutsResetsAndDelays) {
+  Echo echo;
+  auto socket = echo.dial();
+  socket.send("one\n");
+  EXPECT_EQ(socket.line(), "one");
+  echo.with([](Link& link) { link.cut(); });
+  EXPECT_FALSE(socket.more());
+  auto refused = echo.dial();
+  EXPECT_FALSE(refused.more());
+  echo.with([](Link& link) {
+    link.heal();
+    link.delay(50ms);
+  });
+  auto late = echo.dial();
+  const auto from = std::chrono::steady_clock::now();
+  late.send("two\n");
+  EXPECT_EQ(late.line(), "two");
+  EXPECT_GE(std::chrono::steady_clock::now() - from, 100ms);
+  echo.with([](Link& link) { link.reset(); });
+  EXPECT_FALSE(late.more());
+  EXPECT_NO_THROW(echo.dial());
+  std::uint64_t up = 0, down = 0;
+  echo.with([&](Link& link) {
+    up = link.bytes(Way::up);
+    down = link.bytes(Way::down);
+  });
+  EXPECT_EQ(up, 8U);
+  EXPECT_EQ(down, 8U);
+}
+
+TEST(Relay, APlaceThatIsGoneResetsAndOneThatIsMovedIsFollowed) {
+  Echo echo;
+  echo.network.place("b", "");
+  auto socket = echo.dial();
+  EXPECT_FALSE(socket.more());
+  Echo other;
+  echo.network.place("b", other.server.address());
+  auto again = echo.dial();
+  again.send("one\n");
+  EXPECT_EQ(again.line(), "one");
+  EXPECT_TRUE(other.came("one"));
+}
+
+}  // namespace
+}  // namespace bellstair::test
