Test the way of the configuration on several processes with faults between them

A fleet of control nodes, brokers and the operator's tool as real processes, with a link between any two that talk and files that outlive each process, and tests on it: a publish that reaches all, what it changes, what is refused and where; SIGKILL before and after the writer has kept a version, and at any moment; SIGSTOP of writer, follower and broker; nodes that are silent, cut one way, gone; a new epoch and the old writer's return; two writers of one epoch; a stranger's fleet, noise and endless frames. At each test's end every broker's history is looked at: versions only rise, and each was kept by a node.

--- /dev/null
+++ b/tests/processes/faults_test.cpp
@@ -0,0 +1,428 @@
+// What the way of the configuration bears: processes that die or stand still in the middle of a publish,
+// links that are cut, writers that return. Fleet::check() looks at each broker's whole history at the end of
+// every test.
+#include <gtest/gtest.h>
+
+#include "config/config.hpp"
+#include "control/subscriber.hpp"
+#include "fleet.hpp"
+
+namespace bellstair::test {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+// A tool that the writer has greeted, on no link of the network.
+struct Operator : ControlPeer {
+  explicit Operator(Fleet& fleet, const std::string& node = "c1") : ControlPeer(fleet.address(node)) {
+    greet();
+    expect<control::Welcome>();
+  }
+  Place publish(const std::string& document) {
+    send(control::Publish{document});
+    return expect<control::Published>().place;
+  }
+};
+
+// A broker is told to have moved on within this: the silence that is stated, the dials of a round, and a
+// machine that is busy.
+constexpr auto kMovesOn = control::Subscriber::kSilence + 4 * control::Subscriber::kDial + 4s;
+
+TEST(Faults, AWriterKilledBeforeItHasKeptADocumentLosesNothingElse) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).place(), (Place{1, 1}));
+  Operator tool(fleet);
+  fleet.node("c1").signal(SIGSTOP);
+  tool.send(control::Publish{tenant("two")});  // it lies at the system, unread
+  fleet.kill("c1");
+  EXPECT_THROW(tool.expect<control::Published>(), std::exception);
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    EXPECT_EQ(fleet.ask(i, "one"), "");
+    EXPECT_NE(fleet.ask(i, "two"), "");
+  }
+  const auto ran = fleet.publish(tenant("three"));
+  EXPECT_EQ(ran.code, 4) << ran;
+  EXPECT_EQ(fleet.status().code, 4);
+  fleet.restart("c1");
+  const auto again = fleet.publish(tenant("three"));
+  EXPECT_EQ(again.code, 0) << again;
+  EXPECT_EQ(again.place(), (Place{1, 2}));
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) EXPECT_EQ(fleet.ask(i, "three"), "");
+}
+
+TEST(Faults, WhatAWriterHadKeptWhenItWasKilledIsInForceEverywhereOnceItReturns) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).place(), (Place{1, 1}));
+  // Nothing that it says reaches anyone but its operator.
+  fleet.network.each([](auto&, auto& to) { return to == "c1"; }, [](Link& link) { link.hold(Way::down); });
+  Operator tool(fleet);
+  EXPECT_EQ(tool.publish(tenant("two")), (Place{1, 2}));
+  fleet.kill("c1");
+  fleet.network.each([](auto&, auto&) { return true; }, [](Link& link) { link.reset(); });
+  fleet.network.heal();
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    EXPECT_FALSE(fleet.has(i, {1, 2}));
+    EXPECT_EQ(fleet.ask(i, "one"), "");
+    EXPECT_NE(fleet.ask(i, "two"), "");
+  }
+  fleet.restart("c1");
+  fleet.wait_in_force({1, 2});
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    EXPECT_NE(fleet.ask(i, "one"), "");
+    EXPECT_EQ(fleet.ask(i, "two"), "");
+  }
+}
+
+// Whenever it dies, a version is in force nowhere or everywhere in the end, and is never lost once it was
+// told.
+TEST(Faults, AWriterKilledAtAnyMomentOfAPublishLosesNoVersionThatWasTold) {
+  FleetOptions options;
+  options.last = true;
+  Fleet fleet(options);
+  fleet.all_connected();
+  std::mt19937_64 random(34);
+  Place told;
+  for (int round = 0; round < 6; ++round) {
+    Operator tool(fleet);
+    tool.send(control::Publish{tenant("t" + std::to_string(round))});
+    const auto wait = std::chrono::microseconds(random() % 20'000);
+    std::this_thread::sleep_for(wait);  // the moment is the case, and proves nothing
+    fleet.kill("c1");
+    try {
+      told = std::max(told, tool.expect<control::Published>().place);
+    } catch (const std::exception&) {
+      // it died before it could tell
+    }
+    fleet.restart("c1");
+    Operator after(fleet);
+    after.send(control::AskStatus{});
+    const auto newest = after.expect<control::Status>().newest;
+    EXPECT_GE(newest, told) << "killed after " << wait.count() << " us of round " << round;
+    const auto ran = fleet.publish(tenant("sure" + std::to_string(round)));
+    ASSERT_EQ(ran.code, 0) << ran;
+    told = ran.place();
+    for (std::size_t i = 0; i < fleet.brokers(); ++i)
+      EXPECT_EQ(fleet.ask(i, "sure" + std::to_string(round)), "");
+  }
+}
+
+TEST(Faults, BrokersOfANodeThatIsKilledMoveOnAndItsReturnFollows) {
+  Fleet fleet;
+  fleet.all_connected();
+  fleet.move(1, "c3");
+  const auto from = fleet.broker(1).lines();
+  fleet.kill("c3");
+  fleet.broker(1).said("control: lost c3", from);
+  fleet.connected(1, "c", from);
+  EXPECT_NE(fleet.at(1), "c3");
+  EXPECT_EQ(fleet.publish(tenant("one")).code, 0);
+  fleet.restart("c3");
+  fleet.node("c3").said("version 1.1 kept");
+  EXPECT_EQ(fleet.publish(tenant("two")).code, 0);
+  fleet.node("c3").said("version 1.2 kept");
+}
+
+// The connections stand, and nothing comes: only silence shows it.
+TEST(Faults, BrokersOfAWriterThatStandsStillMoveOnWithinTheStatedSilence) {
+  FleetOptions options;
+  options.nodes = {{"c1", "north"}, {"c2", "south"}};
+  Fleet fleet(options);
+  fleet.all_connected();
+  fleet.move(0, "c1");
+  const auto from = fleet.broker(0).lines();
+  const auto since = Clock::now();
+  fleet.node("c1").signal(SIGSTOP);
+  fleet.connected(0, "c2", from);
+  EXPECT_LT(Clock::now() - since, kMovesOn);
+  EXPECT_EQ(fleet.publish(tenant("one")).code, 4);
+  EXPECT_EQ(fleet.ask(0, "acme"), "");
+  fleet.node("c1").signal(SIGCONT);
+  const auto ran = fleet.publish(tenant("one"));
+  EXPECT_EQ(ran.code, 0) << ran;
+  fleet.wait_in_force({1, 1});
+}
+
+TEST(Faults, APublishReachesTheBrokersOfAFollowerThatStandsStill) {
+  Fleet fleet;
+  fleet.all_connected();
+  fleet.move(1, "c3");
+  fleet.node("c3").signal(SIGSTOP);
+  const auto ran = fleet.publish(tenant("one"));
+  EXPECT_EQ(ran.code, 0) << ran;
+  fleet.wait_in_force({1, 1});
+  EXPECT_NE(fleet.at(1), "c3");
+  fleet.node("c3").signal(SIGCONT);
+  fleet.node("c3").said("version 1.1 kept");
+}
+
+TEST(Faults, ABrokerThatStandsStillIsNamedAsBehindAndTakesTheNewestWhenItGoesOn) {
+  Fleet fleet;
+  fleet.all_connected();
+  fleet.broker(2).signal(SIGSTOP);
+  const auto ran = fleet.publish(tenant("one"), "1s");
+  EXPECT_EQ(ran.code, 3) << ran;
+  EXPECT_NE(ran.out.find("behind: n2"), std::string::npos) << ran;
+  EXPECT_EQ(ran.out.find("behind: n0"), std::string::npos) << ran;
+  Operator tool(fleet);
+  for (int i = 0; i < 50; ++i) tool.publish(tenant("many" + std::to_string(i)));
+  fleet.broker(2).signal(SIGCONT);
+  fleet.wait_in_force({1, 51});
+  // Those between may have been left out; never has one come twice or late, see check().
+  EXPECT_EQ(fleet.ask(2, "many49"), "");
+}
+
+TEST(Faults, ANodeThatIsSilentOrHalfCutIsLeftWithinTheStatedSilence) {
+  for (const int mode : {0, 1, 2}) {
+    SCOPED_TRACE(mode);
+    FleetOptions options;
+    options.brokers = 2;
+    Fleet fleet(options);
+    fleet.all_connected();
+    fleet.move(1, "c3");
+    const auto from = fleet.broker(1).lines();
+    const auto since = Clock::now();
+    fleet.network.each([](auto&, auto& to) { return to == "c3"; },
+                       [&](Link& link) {
+                         if (mode != 1) link.hold(Way::up);
+                         if (mode != 0) link.hold(Way::down);
+                       });
+    fleet.broker(1).said("control: lost c3", from);
+    fleet.connected(1, "c", from);
+    EXPECT_LT(Clock::now() - since, kMovesOn);
+    const auto ran = fleet.publish(tenant("one"));
+    EXPECT_EQ(ran.code, 0) << ran;
+    fleet.network.heal();
+    EXPECT_EQ(fleet.publish(tenant("two")).code, 0);
+    fleet.node("c3").said("version 1.2 kept");
+  }
+}
+
+// The follower hears nothing of the writer, though the writer hears it.
+TEST(Faults, AFollowerCutOneWayFromItsWriterCatchesUpOnceHealed) {
+  Fleet fleet;
+  fleet.all_connected();
+  fleet.move(0, "c1");
+  fleet.move(1, "c3");
+  fleet.network.with("c3", "c1", [](Link& link) { link.hold(Way::down); });
+  const auto ran = fleet.publish(tenant("one"), "1s");
+  EXPECT_EQ(ran.code, 3) << ran;
+  EXPECT_NE(ran.out.find("behind: n1"), std::string::npos) << ran;
+  fleet.network.heal();
+  fleet.node("c3").said("version 1.1 kept");
+  fleet.wait_in_force({1, 1});
+}
+
+TEST(Faults, WithAllNodesGoneBrokersServeOnAlsoAcrossTheirOwnRestart) {
+  FleetOptions options;
+  options.last = true;
+  Fleet fleet(options);
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).code, 0);
+  for (const auto* node : {"c1", "c2", "c3"}) fleet.kill(node);
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    EXPECT_EQ(fleet.ask(i, "one"), "");
+    EXPECT_NE(fleet.ask(i, "acme"), "");
+    fleet.restart(i);
+    fleet.broker(i).said(Fleet::in_force({1, 1}));
+    EXPECT_EQ(fleet.ask(i, "one"), "");
+    EXPECT_NE(fleet.ask(i, "acme"), "");
+  }
+  EXPECT_EQ(fleet.status().code, 4);
+  for (const auto* node : {"c1", "c2", "c3"}) fleet.restart(node);
+  fleet.all_connected();
+  EXPECT_EQ(fleet.publish(tenant("two")).code, 0);
+}
+
+TEST(Faults, ALastVersionThatIsDamagedIsPutAsideAndTold) {
+  FleetOptions options;
+  options.last = true;
+  options.brokers = 1;
+  Fleet fleet(options);
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).code, 0);
+  fleet.kill(std::size_t{0});
+  auto text = config::read_file(fleet.path("n0.last"), "last");
+  text[text.find("one")] = '0';
+  fleet.write("n0.last", text);
+  for (const auto* node : {"c1", "c2", "c3"}) fleet.kill(node);
+  fleet.start(std::size_t{0});
+  fleet.await_up(0);
+  fleet.broker(0).said("n0.last");
+  EXPECT_EQ(fleet.ask(0, "acme"), "");  // as the platform's configuration has it
+  EXPECT_NE(fleet.ask(0, "0ne"), "");
+  for (const auto* node : {"c1", "c2", "c3"}) fleet.restart(node);
+  fleet.broker(0).said(Fleet::in_force({1, 1}));
+}
+
+// The writer is cut off from all; the operator names another. The old one knows of nothing, and still takes
+// what it is given: nobody ever has it in force.
+TEST(Faults, AnOldWriterThatReturnsIsRefusedByAll) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).place(), (Place{1, 1}));
+  const auto to_or_from_c1 = [](auto& from, auto& to) { return from == "c1" || to == "c1"; };
+  fleet.network.each(to_or_from_c1, [](Link& link) { link.cut(); });
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) fleet.connected(i);
+  const control::Reign next{2, "c2"};
+  fleet.write_files(next, {"c2", "c3", "tool"});
+  for (const auto* node : {"c2", "c3"}) fleet.node(node).signal(SIGHUP);
+  fleet.node("c2").said("writes, epoch 2");
+  fleet.node("c3").said("follows c2, epoch 2");
+  Operator old(fleet);
+  EXPECT_EQ(old.publish(tenant("stale")), (Place{1, 2}));
+  const auto ran = fleet.publish(tenant("two"));
+  EXPECT_EQ(ran.code, 0) << ran;
+  EXPECT_EQ(ran.place(), (Place{2, 2}));
+  fleet.wait_in_force({2, 2});
+  // Now the others are out of reach, and it alone answers: brokers of epoch 2 depose it.
+  fleet.network.each([](auto& from, auto& to) { return to != "c1" && from[0] == 'n'; },
+                     [](Link& link) { link.cut(); });
+  fleet.network.each(to_or_from_c1, [](Link& link) { link.heal(); });
+  fleet.node("c1").said("follows c2, epoch 2");
+  fleet.node("c1").said("version 2.2 kept");
+  old.send(control::Publish{tenant("stale")});
+  EXPECT_NE(old.expect<control::Rejected>().problem.find("the writer is c2"), std::string::npos);
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    EXPECT_FALSE(fleet.has(i, {1, 2}));
+    EXPECT_EQ(fleet.ask(i, "two"), "");
+    EXPECT_NE(fleet.ask(i, "stale"), "");
+  }
+  fleet.network.heal();
+  // It has it on its disk, too: after a restart with its old file it does not write.
+  fleet.restart("c1");
+  fleet.node("c1").said("follows c2, epoch 2");
+  EXPECT_EQ(fleet.publish(tenant("three")).code, 0);
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) EXPECT_EQ(fleet.ask(i, "three"), "");
+}
+
+// A node without its disk, and with a file that names itself as the writer of an epoch that has one.
+TEST(Faults, ASecondWriterOfOneEpochIsRefusedByAll) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).place(), (Place{1, 1}));
+  fleet.kill("c3");
+  for (const auto* end : {"", "-journal"}) std::filesystem::remove(fleet.path(std::string("c3.db") + end));
+  fleet.write_files({1, "c3"}, {"c3"});
+  fleet.restart("c3");
+  fleet.node("c3").said("writes, epoch 1");
+  Operator second(fleet, "c3");
+  second.publish(tenant("other"));
+  EXPECT_EQ(second.publish(tenant("another")), (Place{1, 2}));
+  // It alone is in reach.
+  std::vector<std::size_t> from;
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) from.push_back(fleet.broker(i).lines());
+  fleet.network.each([](auto& who, auto& to) { return to != "c3" && who[0] == 'n'; },
+                     [](Link& link) { link.cut(); });
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) {
+    fleet.broker(i).said("epoch 1 has", from[i]);
+    EXPECT_FALSE(fleet.has(i, {1, 2}));
+    EXPECT_EQ(fleet.ask(i, "one"), "");
+  }
+  fleet.network.heal();
+  const auto ran = fleet.publish(tenant("two"));
+  EXPECT_EQ(ran.code, 0) << ran;
+  EXPECT_EQ(ran.place(), (Place{1, 2}));
+  fleet.wait_in_force({1, 2});
+  fleet.status_when([](const json& status) {
+    std::string digest;
+    for (const auto& node : status["nodes"]) {
+      if (node["name"] == "c1") digest = node["digest"];
+    }
+    return status["brokers"].size() == 3 && std::ranges::all_of(status["brokers"], [&](const json& broker) {
+             return broker["in_force"] == "1.2" && broker["digest"] == digest;
+           });
+  });
+}
+
+TEST(Faults, AStrangersFleetIsRefusedOnBothSides) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).code, 0);
+  // A broker and a tool of another fleet.
+  fleet.kill(std::size_t{0});
+  fleet.write("n0.hcl", fleet.operators_file("n0", fleet.reign, "lyon"));
+  fleet.restart(std::size_t{0});
+  fleet.broker(0).said("lyon");
+  EXPECT_EQ(fleet.ask(0, "acme"), "");
+  EXPECT_FALSE(fleet.has(0, {1, 1}));
+  fleet.write("tool.hcl", fleet.operators_file("tool", fleet.reign, "lyon"));
+  const auto ran = fleet.publish(tenant("two"));
+  EXPECT_EQ(ran.code, 4) << ran;
+  EXPECT_NE(ran.err.find("fleet lyon"), std::string::npos) << ran;
+  // A node of another: its store says whose it is.
+  fleet.kill("c3");
+  fleet.write("c3.hcl", fleet.operators_file("c3", fleet.reign, "lyon"));
+  const auto refused = run_program({"control", fleet.path("c3.hcl"), "--node", "c3"});
+  EXPECT_NE(refused.code, 0) << refused;
+  EXPECT_NE(refused.err.find("c3.db"), std::string::npos) << refused;
+  fleet.write_files(fleet.reign);
+  fleet.restart(std::size_t{0});
+  fleet.restart("c3");
+  fleet.broker(0).said(Fleet::in_force({1, 1}));
+  EXPECT_EQ(fleet.publish(tenant("two")).code, 0);
+}
+
+// What comes at a node's port from anybody: each is told or cut off, and nobody else notices.
+TEST(Strangers, NoiseEndlessFramesAndOldProtocolsDoNotHoldUpAPublish) {
+  FleetOptions options;
+  options.nodes = {{"c1", "north"}, {"c2", "south"}};
+  Fleet fleet(options);
+  fleet.all_connected();
+  std::atomic<bool> over = false;
+  std::atomic<int> cut_off = 0;
+  std::vector<std::thread> strangers;
+  const auto again_and_again = [&](const char* node, const std::function<void(Socket&)>& speak) {
+    strangers.emplace_back([&, node, speak] {
+      while (!over) {
+        try {
+          auto socket = Socket::to(fleet.address(node));
+          speak(socket);
+          socket.ended();
+          ++cut_off;
+        } catch (const std::exception& error) {
+          ADD_FAILURE() << node << ": " << error.what();
+          return;
+        }
+      }
+    });
+  };
+  for (const auto* node : {"c1", "c2"}) {
+    again_and_again(node, [](Socket& socket) {  // noise
+      std::mt19937 random(7);
+      std::string noise(4096, '\0');
+      for (auto& byte : noise) byte = static_cast<char>(random());
+      socket.send(noise);
+    });
+    again_and_again(node, [](Socket& socket) {  // a frame of 4 GB, a byte at a time
+      socket.send(std::string("\xff\xff\xff\xff\0\0\0\0", 8));
+      while (socket.send("x")) std::this_thread::yield();
+    });
+    again_and_again(node, [](Socket& socket) {  // a first message as long as any
+      std::string endless = link::frame(std::string(control::kMostMessage, ' '));
+      (void)socket.send(endless);
+    });
+    again_and_again(node, [](Socket& socket) { socket.send(link::frame(std::string(60'000, '['))); });
+    again_and_again(node, [](Socket& socket) { socket.send(link::frame(R"({"kind":"offer"})")); });
+    again_and_again(node, [](Socket& socket) {  // another protocol, and another fleet
+      control::Hello hello;
+      hello.protocol = 99;
+      hello.fleet = "tunis";
+      hello.name = "n0";
+      socket.send(link::frame(control::encode(hello)));
+    });
+    again_and_again(node, [](Socket&) {});  // says nothing
+  }
+  for (int i = 0; i < 5; ++i) {
+    const auto ran = fleet.publish(tenant("t" + std::to_string(i)));
+    EXPECT_EQ(ran.code, 0) << ran;
+  }
+  over = true;
+  for (auto& stranger : strangers) stranger.join();
+  EXPECT_GE(cut_off, 14);  // each of them at least once
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) EXPECT_EQ(fleet.ask(i, "t4"), "");
+}
+
+}  // namespace
+}  // namespace bellstair::test
