--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1062,6 +1062,22 @@
   EXPECT_NE(unusable().find("the reign's digest"), std::string::npos);
 }
 
+// The second statement of each keep() fails: the first has left nothing.
+TEST_F(ControlStore, AKeepIsDoneWholeOrNotAtAll) {
+  fill(2);
+  sql("CREATE TRIGGER a BEFORE INSERT ON reign BEGIN SELECT RAISE(ABORT, 'no reign'); END;"
+      "CREATE TRIGGER b BEFORE DELETE ON versions BEGIN SELECT RAISE(ABORT, 'no history'); END");
+  {
+    Store store(path_, "tunis", 2);
+    EXPECT_NE(store.keep(Reign{4, "c2"}).find("no reign"), std::string::npos);
+    EXPECT_NE(store.keep(version(3, 3)).find("no history"), std::string::npos);
+    EXPECT_EQ(store.stored().newest->place, (Place{3, 2}));
+  }
+  Store store(path_, "tunis", 2);
+  EXPECT_EQ(store.stored().reign, (Reign{3, "c1"}));
+  EXPECT_EQ(store.stored().newest->place, (Place{3, 2}));
+}
+
 // Killed in the middle of writing: what keep() has returned for is there, and the file is whole.
 TEST_F(ControlStore, WhatWasKeptOutlivesAKilledProcess) {
   std::mt19937_64 random(11);
