Count no version of a later epoch as that of a deposed writer

A writer that came back with an old file kept 1.2, and 'config publish' said that it was in force at all brokers, since they had 2.2. The tool now asks all nodes before it publishes, refuses where one knows of a newer epoch, and counts only versions of the same epoch, with the same digest where the number is the same.

--- a/src/app/config_tool.cpp
+++ b/src/app/config_tool.cpp
@@ -94,6 +94,23 @@
     const auto found = std::ranges::find(nodes_, name, [](const Node& node) { return node.config.name; });
     return found == nodes_.end() ? nullptr : &*found;
   }
+  // A node that knows of a newer epoch than `epoch`, by what it says; nothing: none does.
+  [[nodiscard]] std::string deposed(std::uint64_t epoch) const {
+    const Node* newest = nullptr;
+    for (const auto& node : nodes_) {
+      if (node.status && node.status->reign.epoch > epoch &&
+          (newest == nullptr || node.status->reign.epoch > newest->status->reign.epoch))
+        newest = &node;
+    }
+    if (newest == nullptr) return "";
+    const auto& reign = newest->status->reign;
+    return newest->config.name + " knows of epoch " + std::to_string(reign.epoch) + " of " + reign.writer +
+           ", the operator's file here of epoch " + std::to_string(epoch);
+  }
+  // All have answered, or are out of reach.
+  [[nodiscard]] bool asked() const {
+    return std::ranges::all_of(nodes_, [](const auto& node) { return node.status || !node.problem.empty(); });
+  }
   // Each broker as the node tells it that has heard it last.
   [[nodiscard]] std::map<std::string, Broker> brokers() const {
     std::map<std::string, Broker> out;
@@ -217,12 +234,13 @@
   std::function<bool()> done_;
 };
 
-// Brokers by what is in force at them, against one version.
+// Brokers by what is in force at them, against one version. One of a later epoch is not a later form of it:
+// that writer may never have seen it.
 struct Count {
   std::size_t connected = 0, in_force = 0;
   std::vector<const Broker*> refused, behind, gone;
 
-  Count(const std::map<std::string, Broker>& brokers, Place place) {
+  Count(const std::map<std::string, Broker>& brokers, Place place, const std::string& digest) {
     for (const auto& [name, broker] : brokers) {
       const auto& status = broker.status;
       if (!status.connected) {
@@ -230,7 +248,8 @@
         continue;
       }
       ++connected;
-      if (status.in_force >= place) {
+      const bool same = status.in_force == place ? status.digest == digest : status.in_force > place;
+      if (same && status.in_force.epoch == place.epoch) {
         ++in_force;
       } else if (status.refused >= place && place != Place{}) {
         refused.push_back(&broker);
@@ -253,7 +272,7 @@
 std::string show_place(Place place) { return place == Place{} ? "none" : control::to_text(place); }
 
 std::string show_behind(const Broker& broker) {
-  const auto& in_force = broker.status.in_force;
+  const auto& in_force = broker.status.in_force;  // that of the version asked for: with another text
   return broker.status.name + " (" + show_place(in_force) + ", at " + broker.node + ")";
 }
 
@@ -380,26 +399,27 @@
   ev::default_loop loop(0);
   Nodes nodes(loop, config);
   const auto from = steady_now();
-  nodes.run([&] {
-    return std::ranges::all_of(nodes.all(),
-                               [](const auto& node) { return node.status || !node.problem.empty(); }) ||
-           steady_now() - from >= 2 * kAnswer;
-  });
+  nodes.run([&] { return nodes.asked() || steady_now() - from >= 2 * kAnswer; });
   Place newest;
+  std::string digest;
   bool reached = false;
   for (const auto& node : nodes.all()) {
     if (!node.status) continue;
     reached = true;
-    newest = std::max(newest, node.status->newest);
+    if (node.status->newest <= newest) continue;
+    newest = node.status->newest;
+    digest = node.status->digest;
   }
   const auto brokers = nodes.brokers();
-  const Count count(brokers, newest);
+  const Count count(brokers, newest, digest);
   if (as_json) {
     print_json(config, nodes, brokers, newest);
   } else {
     print_table(config, nodes, brokers, newest, count);
   }
   const auto* writer = nodes.find(config.writer);
+  if (const auto why = nodes.deposed(config.epoch); !why.empty())
+    return fail(Outcome::unreachable, config.writer + " is not the writer any more: " + why);
   if (!reached) return fail(Outcome::unreachable, "no node is in reach");
   if (!writer->status)
     return fail(Outcome::unreachable, "the writer, " + config.writer + ", is " + out_of_reach(*writer));
@@ -462,7 +482,12 @@
                                                 "): see 'config status'");
       return true;
     }
-    if (writer.welcome && writer.status && writer.status->writes) {
+    // A writer that was away does not know that it is none any more; the others do.
+    if (const auto why = nodes_.deposed(config_.epoch); !why.empty()) {
+      outcome_ = fail(Outcome::unreachable, config_.writer + " is not the writer any more: " + why);
+      return true;
+    }
+    if (writer.welcome && writer.status && writer.status->writes && nodes_.asked()) {
       sent_ = writer.channel;
       sent_at_ = now;
       nodes_.publish(writer, text_);
@@ -486,13 +511,18 @@
     const auto name = control::to_text(place);
     if (!kept_) {
       kept_ = now;
+      digest_ = control::digest_of({place, config_.writer, "", text_});
       std::printf("%s: kept by %s after %s\n", name.c_str(), config_.writer.c_str(),
                   show_ms(now - sent_at_).c_str());
     }
     const auto brokers = nodes_.brokers();
-    const Count count(brokers, place);
+    const Count count(brokers, place, digest_);
     const auto line =
         name + ": " + std::to_string(count.in_force) + " of " + std::to_string(count.connected) + " brokers";
+    if (const auto why = nodes_.deposed(place.epoch); !why.empty()) {
+      outcome_ = fail(Outcome::unreachable, name + " comes into force nowhere: " + why);
+      return true;
+    }
     const bool late = now - *kept_ >= wait_;
     // Every node that can be reached has been asked since.
     const bool asked = std::ranges::all_of(nodes_.all(), [&](const auto& node) {
@@ -530,7 +560,7 @@
   Nodes nodes_;
   link::ChannelId sent_ = 0;
   std::optional<Time> kept_;
-  std::string line_;
+  std::string line_, digest_;
   int outcome_ = 0;
 };
 
