--- a/tests/reconfigure_test.cpp
+++ b/tests/reconfigure_test.cpp
@@ -379,9 +379,9 @@
 namespace {
 using namespace std::chrono_literals;
 
-heronwell::Settings settings() {
+heronwell::Settings settings(Time give_up) {
   auto s = test::small_settings();
-  s.classes[0].give_up = 3s;
+  s.classes[0].give_up = give_up;
   auto report = s.classes[0];
   report.name = "report";
   report.aim = 2s;
@@ -395,8 +395,8 @@
 
 class Running {
  public:
-  explicit Running(hooks::Set set = {})
-      : reducer(with, 1, std::size_t{64} << 20, std::move(set), "127.0.0.1:1") {
+  explicit Running(hooks::Set set = {}, Time give_up = 3s)
+      : with(settings(give_up)), reducer(with, 1, std::size_t{64} << 20, std::move(set), "127.0.0.1:1") {
     at(0ms, Listening{});
     at(0ms, FleetChange{true, {test::member(7)}, true});
     at(0ms, Tick{});
@@ -437,7 +437,7 @@
     }
     return false;
   }
-  heronwell::Settings with = settings();  // for the next offer
+  heronwell::Settings with;  // for the next offer
   Time now = 1'700'000'000s;
   Effects effects;
   Reducer reducer;
@@ -600,23 +600,23 @@
   spec.name = "h";
   spec.phases = {false, true, false};
   spec.wait = 10s;
-  spec.match.tenants = {0, 1};
   Running r({{}, {spec}});
-  EXPECT_EQ(r.reducer.tenants_held(), (std::unordered_set<std::uint32_t>{0, 1}));
-  spec.id = 2;
-  spec.match.tenants = {1};
-  r.ask(1, 0, 0, 100ms);
+  r.ask(1, 0, 1, 100ms);
   r.pass(200ms);
   ASSERT_EQ(r.all<Answer>().size(), 1U);
+  ASSERT_EQ(r.reducer.held(), 0U);
   ASSERT_EQ(r.all<RunHook>().size(), 1U) << "it hears of the end";
+  EXPECT_EQ(r.reducer.tenants_held(), (std::unordered_set<std::uint32_t>{1}));
+  spec.id = 2;
+  spec.match.tenants = {0};
   r.at(0ms, ConfigurationRead{{}, "127.0.0.1:1", {}, hooks::Set{{}, {spec}}});
-  EXPECT_TRUE(r.reducer.tenants_held().contains(0)) << "the call is out";
+  EXPECT_EQ(r.reducer.tenants_held(), (std::unordered_set<std::uint32_t>{0, 1})) << "the call is out";
   hooks::Ran ran;
   ran.job = r.all<RunHook>()[0].job;
   ran.hook = 1;
   ran.how = hooks::Ran::How::done;
   r.at(0ms, HookRan{ran});
-  EXPECT_EQ(r.reducer.tenants_held(), (std::unordered_set<std::uint32_t>{1}));
+  EXPECT_EQ(r.reducer.tenants_held(), (std::unordered_set<std::uint32_t>{0}));
 }
 
 // A program that ends takes versions up as any other; the moment at which it gives up what is left stays.
@@ -640,8 +640,8 @@
 
 // A version before the end: it can make the drain shorter, but for what was taken before; never longer.
 TEST(Reconfigured, TheDrainFollowsTheLongestDeadlineThatCounts) {
-  const auto ends_after = [](Time give_up, Time limit) {
-    Running r;
+  const auto ends_after = [](Time give_up, Time limit, Time at_start = 3s) {
+    Running r({}, at_start);
     r.ask(1, 0, 0, limit);
     r.with.classes[0].give_up = r.with.classes[1].give_up = give_up;
     r.offer(1);
@@ -654,6 +654,7 @@
   EXPECT_NEAR(std::chrono::duration<double>(ends_after(200ms, 1s)).count(), 1.3, 0.03);
   EXPECT_NEAR(std::chrono::duration<double>(ends_after(200ms, 100ms)).count(), 0.8, 0.03);
   EXPECT_NEAR(std::chrono::duration<double>(ends_after(30s, 1s)).count(), 3.3, 0.03);
+  EXPECT_NEAR(std::chrono::duration<double>(ends_after(2s, 1s, 1s)).count(), 1.3, 0.03);
 }
 
 }  // namespace
