--- a/benchmarks/scale/hollow_fleet.hpp
+++ b/benchmarks/scale/hollow_fleet.hpp
@@ -90,7 +90,7 @@
   Totals totals;
   std::vector<core::PeerHeard> mail;                                       // for this one
   std::vector<std::pair<std::optional<std::uint32_t>, std::string>> told;  // by this one
-  bool lost_zone = false;                                                  // databases that don't answer
+  std::vector<std::uint64_t>* asked_of = nullptr;                          // attempts, by database
 
  private:
   core::Submission statement() {
@@ -125,7 +125,11 @@
        : answer.kind == core::AnswerKind::refused ? totals.refused
                                                   : totals.failed);
   }
-  void run(const core::StartAttempt& effect) { starting_.push_back(effect.id); }
+  void run(const core::StartAttempt& effect) {
+    starting_.push_back(effect.id);
+    // Numbered from 1, as database_id() names them.
+    if (asked_of != nullptr && effect.engine <= asked_of->size()) ++(*asked_of)[effect.engine - 1];
+  }
   void run(const core::Transmit& effect) {
     ++totals.attempts;
     end_later(effect.id, core::AttemptEnd::served, random_() % 50 == 0 ? 8 : 1 + random_() % 2);
@@ -165,6 +169,8 @@
       brokers.push_back(
           std::make_unique<HollowBroker>(config_, i, seed * 100'003 + i, i < measured ? rate : other_rate));
     measured_ = std::min<std::size_t>(measured, brokers.size());
+    attempts_at.resize(shape.databases);
+    for (auto& broker : brokers) broker->asked_of = &attempts_at;
     for (auto& broker : brokers) {
       for (auto change : config_.known.changes) {
         broker->take(now_, std::move(change));
@@ -224,6 +230,7 @@
     Time tick{}, datagram{}, list{}, statement{};
   };
   Costs costs;
+  std::vector<std::uint64_t> attempts_at;  // each database, by all brokers
   std::vector<std::unique_ptr<HollowBroker>> brokers;
 
  private:
--- a/benchmarks/scale/hollow_slopes.cpp
+++ b/benchmarks/scale/hollow_slopes.cpp
@@ -31,7 +31,7 @@
 }
 
 void play(const Point& point, unsigned number, Time span, Results& out) {
-  constexpr unsigned kMeasured = 4;
+  static constexpr unsigned kMeasured = 4;
   const auto before = heap();
   HollowFleet fleet(point.shape, kMeasured, point.rate, point.other_rate, 7919 * number);
   const auto built = heap();
@@ -40,6 +40,7 @@
   const auto measured = std::min<double>(kMeasured, point.shape.brokers);
   const auto then = fleet.measured();
   fleet.costs = {};
+  std::ranges::fill(fleet.attempts_at, 0);
   Time list_whole{};
   std::size_t steps = 0, events = 0;
   unsigned database = 0;
@@ -95,6 +96,14 @@
   out.row("data", "refused_per_second", "count", a_second(now.refused, then.refused));
   out.row("data", "failed_per_second", "count", a_second(now.failed, then.failed));
   out.row("data", "attempts_per_second", "count", a_second(now.attempts, then.attempts));
+  double attempts = 0, most = 0;
+  for (const auto n : fleet.attempts_at) {
+    attempts += static_cast<double>(n);
+    most = std::max(most, static_cast<double>(n));
+  }
+  const double played = std::chrono::duration<double>(span).count();
+  out.row("database", "attempts_per_second", "count", attempts / played / point.shape.databases);
+  out.row("database", "attempts_per_second_most", "count", most / played);
   const double brokers = point.shape.brokers;
   const auto per_broker = [&](std::size_t to, std::size_t from) {
     return (static_cast<double>(to) - static_cast<double>(from)) / brokers;
@@ -113,6 +122,46 @@
   std::fflush(stdout);
 }
 
+// So many databases are gone in one event of the change log, as with a zone, under a load that the others
+// bear; a second later they are back. What was under way at them is answered all the same.
+void zone_lost(unsigned lost, unsigned number, Results& out) {
+  static constexpr unsigned kMeasured = 4;
+  Shape shape;
+  shape.brokers = 50;
+  HollowFleet fleet(shape, kMeasured, 3140, 40, 104729ULL * number + lost);
+  fleet.run(750ms);
+  const auto event = [&](heronwell::EngineState state) {
+    core::FleetChange all;
+    all.live = true;
+    for (unsigned n = 0; n < lost; ++n) all.members.push_back(fleet.delta(n, state).members.front());
+    fleet.costs = {};
+    const auto before = fleet.measured();
+    fleet.change(all);
+    const double at_once = us(fleet.costs.list) / kMeasured;
+    fleet.run(1s);
+    const auto after = fleet.measured();
+    const char* const role = state == heronwell::EngineState::gone ? "lost" : "back";
+    out.row(role, "list_event_each", "us", at_once);
+    out.row(role, "control_processor_per_second", "us",
+            (us(fleet.costs.tick) + us(fleet.costs.datagram)) / kMeasured);
+    out.row(role, "data_processor_per_second", "us", us(fleet.costs.statement) / kMeasured);
+    const auto each = [](std::uint64_t to, std::uint64_t from) {
+      return static_cast<double>(to - from) / kMeasured;
+    };
+    out.row(role, "served_per_second", "count", each(after.served, before.served));
+    out.row(role, "refused_per_second", "count", each(after.refused, before.refused));
+    out.row(role, "failed_per_second", "count", each(after.failed, before.failed));
+    out.row(role, "bytes_sent_per_second", "bytes", each(after.bytes_sent, before.bytes_sent));
+    std::printf("%-18s %-10s %6u play %u: %s: event %.0f us, served %.0f/s, refused %.0f/s\n", "zone_lost",
+                "databases", lost, number, role, at_once, each(after.served, before.served),
+                each(after.refused, before.refused));
+  };
+  out.at("zone_lost", "databases", lost, number);
+  event(heronwell::EngineState::gone);
+  event(heronwell::EngineState::ready);
+  out.load();
+}
+
 // The change log is away, and comes back to all callers: calls in the worst second, by the program's own
 // back-off. Each call that fails does so at once, and each that does not is a long poll.
 void return_of_the_change_log(unsigned callers, unsigned number, Results& out) {
@@ -195,9 +244,17 @@
          [](Point& p, unsigned size) { p.rate = size; });
     axis(number, {"hollow_zones", "zones", 0, fifty, 3140, 40}, {1, 2, 4, 8, 16},
          [](Point& p, unsigned size) { p.shape.zones = size; });
+    if (!options.quick) {
+      for (const unsigned lost : {1U, 10U, 48U, 97U, 193U}) zone_lost(lost, number, out);
+    }
     for (const unsigned callers : {10U, 100U, 350U, 700U, 1024U})
       return_of_the_change_log(callers, number, out);
   }
+  out.at("zone_lost", "fixed", 0, 0);
+  out.fixed("brokers", "count", 50);
+  out.fixed("databases", "count", 770);
+  out.fixed("statements", "count", 3140);
+  out.fixed("statements_of_other_brokers", "count", 40);
   rusage used{};
   ::getrusage(RUSAGE_SELF, &used);
   out.at("hollow_brokers", "fixed", 0, 0);
--- a/benchmarks/scale/real_slopes.cpp
+++ b/benchmarks/scale/real_slopes.cpp
@@ -319,6 +319,36 @@
   }
 }
 
+// A broker that nobody asks anything: what its loop, ticks and change log cost by themselves.
+void idle(unsigned databases, unsigned plays, Clock::duration span, Results& out) {
+  const Folder folder;
+  auto* const board = make_board();
+  const auto shape = plan(databases);
+  const auto site = start_site(*board, shape, 5);
+  std::vector<std::unique_ptr<RealBroker>> brokers;
+  for (unsigned n = 0; n < plays; ++n)
+    brokers.push_back(std::make_unique<RealBroker>(
+        folder, "b" + std::to_string(n),
+        document(shape, n, board->database_port, "127.63.0.1:" + std::to_string(board->changelog.port))));
+  for (auto& broker : brokers) (void)broker->address();
+  wait(500ms);
+  const auto from = Clock::now();
+  std::vector<double> cpu;
+  for (const auto& broker : brokers) cpu.push_back(broker->cpu_us());
+  wait(span);
+  const double seconds = seconds_since(from);
+  for (unsigned n = 0; n < plays; ++n) {
+    out.at("real_idle", "databases", databases, n + 1);
+    out.row("control", "processor_per_second", "us", (brokers[n]->cpu_us() - cpu[n]) / seconds);
+    out.row("broker", "resident_bytes", "bytes", brokers[n]->resident_bytes());
+    out.row("broker", "descriptors", "count", brokers[n]->descriptors());
+    out.load();
+  }
+  std::printf("%-18s %-10s %6u: %.2f%% of a core, %.1f MB\n", "real_idle", "databases", databases,
+              (brokers[0]->cpu_us() - cpu[0]) / seconds / 1e4, brokers[0]->resident_bytes() / 1e6);
+  std::fflush(stdout);
+}
+
 // The way of today: the whole file is read again at each SIGHUP.
 void reloads(unsigned databases, unsigned plays, Clock::duration span, Results& out) {
   const Folder folder;
@@ -400,6 +430,8 @@
   for (const unsigned connections :
        options.quick ? std::vector<unsigned>{0, 2700} : std::vector<unsigned>{0, 300, 1000, 2700})
     clients(connections, options.plays, options.quick ? 1s : 3s, out);
+  fixed("real_idle", 0, 0, 0);
+  for (const unsigned n : databases) idle(n, options.plays, options.quick ? 1s : 3s, out);
   reloads(770, options.plays, options.quick ? 1s : 2s, out);
 }
 
