--- a/benchmarks/scale/real_slopes.cpp
+++ b/benchmarks/scale/real_slopes.cpp
@@ -51,7 +51,7 @@
     const auto file = folder.file(name + ".json");
     std::ofstream(file) << config.dump();
     process_ = Child([&] {
-      const int to = ::open(said_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
+      const int to = ::open(said_.c_str(), O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0600);
       ::dup2(to, STDERR_FILENO);
       ::execl(BELLSTAIR_PROGRAM, BELLSTAIR_PROGRAM, "serve", "--config", file.c_str(), nullptr);
     });
--- a/benchmarks/scale/results.hpp
+++ b/benchmarks/scale/results.hpp
@@ -10,7 +10,7 @@
 
 class Results {
  public:
-  explicit Results(const std::string& path) : file_(std::fopen(path.c_str(), "w")) {
+  explicit Results(const std::string& path) : file_(std::fopen(path.c_str(), "we")) {
     if (file_ == nullptr) throw std::runtime_error("cannot write " + path);
     std::fputs("suite,axis,x,play,role,measure,unit,value\n", file_);
   }
