--- a/benchmarks/scale/real_slopes.cpp
+++ b/benchmarks/scale/real_slopes.cpp
@@ -330,7 +330,11 @@
     brokers.push_back(std::make_unique<RealBroker>(
         folder, "b" + std::to_string(n),
         document(shape, n, board->database_port, "127.63.0.1:" + std::to_string(board->changelog.port))));
-  for (auto& broker : brokers) (void)broker->address();
+  std::vector<double> begun;
+  for (auto& broker : brokers) {
+    (void)broker->address();
+    begun.push_back(broker->cpu_us());
+  }
   wait(500ms);
   const auto from = Clock::now();
   std::vector<double> cpu;
@@ -340,6 +344,7 @@
   for (unsigned n = 0; n < plays; ++n) {
     out.at("real_idle", "databases", databases, n + 1);
     out.row("control", "processor_per_second", "us", (brokers[n]->cpu_us() - cpu[n]) / seconds);
+    out.row("broker", "processor_until_serving", "us", begun[n]);
     out.row("broker", "resident_bytes", "bytes", brokers[n]->resident_bytes());
     out.row("broker", "descriptors", "count", brokers[n]->descriptors());
     out.load();
