--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -289,18 +289,15 @@
         return self.series.means[b] + (x - b) * (self.series.means[b] - self.series.means[a]) / (b - a)
 
     def at(self, x):
-        """The value at a size: the mean of its plays where it was played; else the curve."""
-        if x in self.series.means:
-            return self.series.means[x]
-        if self.shape == "flat":
-            return self.series.means[self.sizes[-1]] if x > self.sizes[-1] else self.mean
-        if self.shape == "levels off" and x < self.sizes[-1]:
-            below = max((s for s in self.sizes if s < x), default=None)
-            if below is None:
-                return self.series.means[self.sizes[0]]
-            above = min(s for s in self.sizes if s > x)
-            a, b = self.series.means[below], self.series.means[above]
-            return a + (b - a) * (x - below) / (above - below)
+        """The mean of its plays at a size that was played; between two such, the straight line; else the curve."""
+        means = self.series.means
+        if x in means:
+            return means[x]
+        if self.sizes[0] < x < self.sizes[-1]:
+            below, above = max(s for s in self.sizes if s < x), min(s for s in self.sizes if s > x)
+            return means[below] + (means[above] - means[below]) * (x - below) / (above - below)
+        if self.shape == "flat" or (self.shape == "levels off" and x < self.sizes[0]):
+            return means[self.sizes[-1] if x > self.sizes[-1] else self.sizes[0]]
         return self.curve(x)
 
     def beyond(self, x):
@@ -481,6 +478,8 @@
     "statements": ("broker_statements", "statement a second"), "zones": ("zones", "zone"),
     "connections": ("broker_connections", "connection"), "regions": ("regions", "region"),
 }
+# Suites whose axis is a part of the fleet: its size.
+PARTS = {"zone_lost": lambda operators: operators.value("databases") / operators.value("zones")}
 # Axes that are so many a second.
 RATES = ("statements", "events", "changes")
 # Roles of the results that say how a play was made, and nothing of the program.
@@ -523,6 +522,7 @@
 TELLS = [hollow("control", "bytes_sent_per_second"), hollow("control", "bytes_received_per_second")]
 POLLS = [polled("bytes_sent_per_second", "/brokers"), polled("bytes_received_per_second", "/brokers")]
 REDUCER = hollow("control", "processor_per_second")
+IDLE = real("idle", "databases", "control", "processor_per_second")
 TWICE = 6280  # statements a second; the most that is asked of one broker
 FEW_EVENTS = 2  # a second; the fewest that are played
 FEW_SOCKETS, MANY_SOCKETS = 1024, 8192  # descriptors; the fewest and the most that are played
@@ -587,6 +587,14 @@
         [real("sockets", "sockets", "data", "dials_per_second")], None, "", MANY_SOCKETS),
     Row("data", "messages", "answered a second, with 1,024 descriptors in all",
         [real("sockets", "sockets", "client", "answered_per_second")], None, "", FEW_SOCKETS),
+    Row("data", "messages", "served in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "served_per_second", "")]),
+    Row("data", "messages", "refused in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "refused_per_second", "")]),
+    Row("data", "messages", "failed in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "failed_per_second", "")]),
+    Row("data", "messages", "refused in the second after they came back",
+        [("zone_lost", "databases", "back", "refused_per_second", "")]),
     Row("data", "processor time", "process, control included", [asked("broker", "processor_per_second")],
         None, "process"),
     Row("data", "processor time", "process, one statement more",
@@ -607,10 +615,10 @@
     Row("control", "messages", "datagrams heard a second",
         [hollow("control", "messages_received_per_second")]),
     Row("control", "processor time", "at least: an idle process, before all databases",
-        [asked("broker", "processor_per_second", "at 0")], "control_core", "at least"),
+        [IDLE], "control_core", "at least"),
     Row("control", "processor time",
         "at most: the reducer's and an idle process's together, ticks counted twice",
-        [REDUCER, asked("broker", "processor_per_second", "at 0")], "control_core", "at most", None, False,
+        [REDUCER, IDLE], "control_core", "at most", None, False,
         "at least: an idle process, before all databases"),
     Row("control", "processor time", "reducer's ticks, datagrams and events, under statements", [REDUCER],
         "control_core"),
@@ -621,10 +629,16 @@
     Row("control", "processor time", "one event of the change log, process",
         [real("events", "events", "broker", "processor_per_second", "slope")]),
     Row("control", "processor time", "a whole list, reducer", [hollow("control", "whole_list_each")]),
+    Row("control", "processor time", "a zone's databases leave in one event, reducer",
+        [("zone_lost", "databases", "lost", "list_event_each", "")]),
+    Row("control", "processor time", "and come back in one, reducer",
+        [("zone_lost", "databases", "back", "list_event_each", "")]),
+    Row("control", "processor time", "ticks and datagrams in the second after they left, reducer",
+        [("zone_lost", "databases", "lost", "control_processor_per_second", "")], "control_core"),
     Row("control", "memory", "heap of the reducer, before any statement", [hollow("control", "memory_bytes")],
         "control_memory", "heap"),
     Row("control", "memory", "an idle process, resident, all that it is",
-        [asked("broker", "resident_bytes", "at 0")], "control_memory", "idle process"),
+        [real("idle", "databases", "broker", "resident_bytes")], "control_memory", "idle process"),
     # a database, before all brokers
     Row("database", "state", "connections held at each, all brokers together",
         [real("databases", "databases", "database", "connections_held", "*brokers")], None, "connections"),
@@ -685,7 +699,8 @@
     "operator": Role("Operator", [("src/app/broker.cpp", "Broker::on_hangup")],
                      "a way of configuration to all brokers, and word of what is in force"),
 }
-# Once the control plane has been measured, these carry, and lack nothing.
+# Once the control plane is in the tree, these carry, and lack nothing.
+PLANE = "src/control/node.cpp"
 BUILT = {
     "machines": Role("The seven control machines", [
         ("src/control/node.cpp", "Node"), ("src/control/store.cpp", "Store"),
@@ -732,9 +747,8 @@
             lambda o: f"an event of the change log at each of {plain(o.value('brokers'))} brokers",
             ("one event of the change log, process", "one event of the change log, reducer"),
             ("from an event to the last broker, the most",)),
-    Failure("a day", "a change of configuration", "config_changes",
-            lambda o: plain(o.value("config_changes") * o.value("brokers"))
-            + " files and SIGHUPs a day, by hand",
+    Failure("a day", "a change of configuration, by hand", "config_changes",
+            lambda o: plain(o.value("config_changes") * o.value("brokers")) + " files and SIGHUPs a day",
             ("one SIGHUP at one broker, the whole file read again",)),
     Failure("a month or two", "a rack or switch goes", None, lambda o: "the operators name no size"),
     Failure("a few a year", "a zone goes", None,
@@ -742,7 +756,9 @@
                       f"{plain(o.value('databases') / o.value('zones'))} databases, "
                       f"{plain(o.value('connections') / o.value('zones'))} connections come anew, "
                       f"{plain(of_a_lost_zone(o))} to each other broker",
-            ("a lost zone's connections coming, at one of the other brokers",),
+            ("a lost zone's connections coming, at one of the other brokers",
+             "a zone's databases leave in one event, reducer",
+             "refused in the second after a zone's databases left"),
             ("until a lost zone's connections are up, at one of the other brokers",)),
     Failure("now and then", "regions lose each other for an hour", None,
             lambda o: f"{plain(o.value('brokers') / o.value('regions'))} brokers on each side"),
@@ -768,7 +784,8 @@
         self.fits = {key: Fit(one) for key, one in series.items()
                      if key.role not in ABOUT_THE_PLAY and key.axis != FIXED}
         self.suites = sorted({key.suite for key in series})
-        self.roles = ROLES | (BUILT if CONTROL in self.suites else {})
+        self.built = os.path.exists(os.path.join(root, PLANE))
+        self.roles = ROLES | (BUILT if self.built else {})
         # Each measure of the control plane has a row.
         self.all_rows = list(ROWS)
         for key in self.fits:
@@ -790,6 +807,8 @@
             return float(taken[3:])
         if row is not None and row.size is not None:
             return row.size(self.operators) if callable(row.size) else row.size
+        if key.suite in PARTS:
+            return PARTS[key.suite](self.operators)
         name = SIZES.get(key.axis, (None,))[0]
         return self.operators.value(name) if name else self.fits[key].sizes[-1]
 
@@ -906,10 +925,12 @@
         plane = [row for row in self.rows("machines") if row.limit]  # there once it was measured
         needs = [(need, row_named(need.label) if need.label else None) for need in NEEDS]
         needs += [(Need(row.limit, f"with it, {row.label}", row.label), row) for row in plane]
+        if self.built and not plane:
+            needs.append((Need("config_limit", "the same, with the control plane", None, "not played"), None))
         for need, row in needs:
             limit = self.operators.text(need.figure) if need.figure else "none stated"
             if row is None:
-                before = " (before the control plane)" if plane and need.verdict == "breaks" else ""
+                before = " (before the control plane)" if self.built and need.verdict == "breaks" else ""
                 out.append((0.0 if need.verdict == "breaks" else math.inf,
                             [need.what + before, "-", limit, need.where, need.verdict]))
             elif not self.find(row):
@@ -941,12 +962,20 @@
 
     def failures(self):
         def told(labels):
-            rows = [row for row in map(row_named, labels) if self.find(row)]
+            rows = [row for row in labels if isinstance(row, Row)]
+            rows += [row for row in map(row_named, (n for n in labels if isinstance(n, str))) if self.find(row)]
             return "; ".join(f"{row.label}: {self.text(row)}" for row in rows) or "not measured"
 
+        failures = list(FAILURES)
+        if self.built:
+            plane = self.rows("machines")
+            failures.append(Failure(
+                "", "a change of configuration, by the control plane", "config_changes",
+                lambda o: f"each of {plain(o.value('brokers'))} brokers",
+                [row for row in plane if not row.limit], [row for row in plane if row.limit]))
         return table(["how often", "what", "whom it hits", "cost", "how long"], [
             [self.operators.text(f.figure) if f.figure else f.when, f.what, f.hits(self.operators),
-             told(f.costs), told(f.times)] for f in FAILURES])
+             told(f.costs), told(f.times)] for f in failures])
 
     def rows(self, role, resource=None):
         return [row for row in self.all_rows if row.role == role and resource in (None, row.resource)]
@@ -969,6 +998,8 @@
                         out.append(words if good else f"NOT HELD: {words} ({worst.label})")
             if self.roles[role].lacks:
                 out.append(f"missing: {self.roles[role].lacks}")
+            elif self.built and role in BUILT and not out:
+                out.append("built, not measured at the size")
             return "; ".join(out) or "no limit stated"
 
         return table(["role", *RESOURCES, "against its limit", "carried by"],
@@ -1019,7 +1050,7 @@
     def extrapolated(self):
         out = []
         for key, fit in self.fits.items():
-            if key.axis in SIZES and fit.beyond(self.size(key)) > 1:
+            if (key.axis in SIZES or key.suite in PARTS) and fit.beyond(self.size(key)) > 1:
                 out.append([f"{key.suite}: {key.role} {key.measure}", size_text(fit.sizes[-1]),
                             size_text(self.size(key)), plain(fit.beyond(self.size(key))), fit.told()])
         for row in self.all_rows:
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -105,6 +105,12 @@
         got = fit([(10, 3140.1), (50, 3140.1), (200, 3140.1), (700, 3140.1)])
         self.assertEqual((got.slope, got.slope_error, got.shape), (0, 0, "flat"))
 
+    def test_between_two_sizes_the_straight_line_counts(self):
+        # The line over all of them is below nothing there.
+        got = fit([(300, 10), (1000, 20), (2700, 400)])
+        self.assertLess(got.curve(388), 0)
+        self.assertAlmostEqual(got.at(370), 11)
+
     def test_how_far_beyond(self):
         got = fit([(100, 1), (350, 2)])
         self.assertEqual((got.beyond(700), got.beyond(350), got.beyond(7)), (2, 1, 1))
@@ -264,8 +270,8 @@
         with open(os.path.join(ROOT, "tests", "capacity", "results.csv"), encoding="utf-8") as file:
             self.rows = file.read().split("\n")[2:-1]
         self.write()
-        sheet = capacity.Sheet(ROOT, capacity.read_results(self.results),
-                               capacity.Operators(os.path.join(ROOT, "benchmarks", "scale", "operators.json")))
+        self.operators = capacity.Operators(os.path.join(ROOT, "benchmarks", "scale", "operators.json"))
+        sheet = capacity.Sheet(ROOT, capacity.read_results(self.results), self.operators)
         with open(self.page, "w", encoding="utf-8") as file:
             for name in sheet.blocks():
                 file.write(f"<!--begin:{name}-->\n<!--end:{name}-->\n")
@@ -303,7 +309,9 @@
             'under statements | 0.17% of a core | 14.2% of "1.2% of a core" | line, 1 us/s ± 0 a broker | 3.5 |',
             "| hollow_brokers: control processor_per_second | 200 | 700 | 3.5 | line |",
             # with the idle process beside it
-            '| 0.27% of a core | 22.5% of "1.2% of a core" | brokers: line; statements: line | 3.5 |',
+            '| 0.27% of a core | 22.5% of "1.2% of a core" | brokers: line; databases: flat | 3.5 |',
+            # the event of an eighth of the databases, between sizes that were played
+            "| a zone's databases leave in one event, reducer | 962 us | - | line, 10 us ± 0 a database | 1 |",
             # twice 11 KB, and 160 bytes of the long poll's for each broker
             'and the long poll | 22.2 KB/s | 106% of "21 KB a second" | brokers: flat; brokers: line | ',
             'NOT HELD: 106% of "21 KB a second" (datagrams told and heard, with their heads, and the long poll); '
@@ -321,8 +329,8 @@
     def test_needs_stand_by_where_they_break(self):
         self.run_it()
         needs = self.text().split("<!--begin:needs-->\n")[1].split("\n<!--end")[0].split("\n")[2:]
-        first = "| a change of configuration in force at all brokers | - | within 18 s | at one broker"
-        self.assertTrue(needs[0].startswith(first), needs[0])
+        self.assertTrue(needs[0].startswith("| a change of configuration in force at all brokers"), needs[0])
+        self.assertTrue(needs[0].endswith(" breaks |"), needs[0])
         self.assertEqual(needs[1:4], [
             "| control, bytes | 22.2 KB/s | 21 KB a second | at any size | breaks |",
             "| statements a broker | 4,710 | 3,140 statements a second | not up to 1.5 times, the most played | holds |",
@@ -331,16 +339,16 @@
         ])
         # 3 us more for each broker: 2,000 + 2,800 p > 12,000 from 3.57 on
         made = {"1010": "1040", "1050": "1200", "1100": "1400", "1200": "1800"}
-        self.rows = [",".join([*r.split(",")[:-1], made[r.split(",")[-1]]]) if "control,processor" in r else r
-                     for r in self.rows]
+        self.rows = [",".join([*r.split(",")[:-1], made[r.split(",")[-1]]]) if r.startswith("hollow")
+                     and "control,processor" in r else r for r in self.rows]
         self.write()
         self.run_it()
         self.assertIn("| 0.48% of a core | 1.2% of a core | at 3.58 times the size | holds |", self.text())
 
     def test_a_limit_between_two_bounds_is_not_decided(self):
         def idle(us):
-            return [f"real_statements,statements,0,1,broker,processor_per_second,us,{us}" if "s,0,1,broker" in row
-                    else row for row in self.rows]
+            return [",".join([*row.split(",")[:-1], str(us)]) if row.startswith("real_idle") else row
+                    for row in self.rows]
 
         for us, said in (
             (11000, '| 1.1% of a core to 1.27% of a core | 1.2% of a core | lies between the bounds | not decided |'),
@@ -398,18 +406,25 @@
         self.assertEqual(code, 2)
         self.assertIn("src/net/puddle.cpp: No such file", said)
 
-    def test_the_control_plane_shows_once_it_was_measured(self):
-        self.run_it()
-        self.assertIn("missing: a control plane", self.text())
+    def test_the_control_plane_shows_once_it_is_built_and_once_it_was_measured(self):
+        def text():
+            sheet = capacity.Sheet(self.folder.name, capacity.read_results(self.results), self.operators)
+            return "\n".join(line for block in sheet.blocks().values() for line in block())
+
+        self.assertIn("missing: a control plane", text())
+        self.assertIn("in force at all brokers | - | within 18 s | at one broker", text())
+        os.makedirs(os.path.join(self.folder.name, os.path.dirname(capacity.PLANE)))
+        with open(os.path.join(self.folder.name, capacity.PLANE), "w", encoding="utf-8"):
+            pass
+        self.assertNotIn("missing: a control plane", text())
+        self.assertIn("| built, not measured at the size |", text())
+        self.assertIn("| the same, with the control plane | - | within 18 s | not played | not measured |", text())
         self.write([f"control,brokers,{x},1,fleet,publish_to_in_force_{which},ms,{x}"
                     for x in (10, 100, 300, 700) for which in ("p50", "p99", "most")])
-        sheet = capacity.Sheet(ROOT, capacity.read_results(self.results),
-                               capacity.Operators(os.path.join(ROOT, "benchmarks", "scale", "operators.json")))
-        text = "\n".join(line for block in sheet.blocks().values() for line in block())
-        self.assertIn('| time | fleet: publish to in force p99 | 700 ms | 3.89% of "within 18 s" | line, ', text)
-        self.assertNotIn("missing: a", text.replace("missing: a bound over all brokers", ""))
-        self.assertIn("in force at all brokers (before the control plane) | - | within 18 s | at one broker", text)
-        self.assertIn("| with it, fleet: publish to in force most | 700 ms | within 18 s | not up to 10 times", text)
+        self.assertIn('| time | fleet: publish to in force p99 | 700 ms | 3.89% of "within 18 s" | line, ', text())
+        self.assertIn("in force at all brokers (before the control plane) | - | within 18 s | at one b", text())
+        self.assertIn("| with it, fleet: publish to in force most | 700 ms | within 18 s | not up to 10", text())
+        self.assertIn("| each of 700 brokers | not measured | fleet: publish to in force most: 700 ms; ", text())
 
 
 if __name__ == "__main__":
