--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -54,19 +54,23 @@
 
 
 class Series:
-    """All plays of one measure along one axis."""
+    """All plays of one measure along one axis. Play 0 sums up all plays of its size: it is the size's figure, and
+    the others are what is fitted."""
 
     def __init__(self, key, unit):
         self.key, self.unit, self.points = key, unit, []
 
     def finish(self):
         self.points.sort()
+        summaries = {x: y for x, play, y in self.points if play == 0}
+        played = {x for x, play, _ in self.points if play > 0}
+        self.points = [(x, play, y) for x, play, y in self.points if play > 0 or x not in played]
         by_size = collections.defaultdict(list)
         for x, play, y in self.points:
             by_size[x].append(y)
         self.sizes = sorted(by_size)
         self.by_size = by_size
-        self.means = {x: math.fsum(by_size[x]) / len(by_size[x]) for x in self.sizes}
+        self.means = {x: summaries.get(x, math.fsum(by_size[x]) / len(by_size[x])) for x in self.sizes}
         self.plays = sorted(len(by_size[x]) for x in self.sizes)
         return self
 
@@ -478,6 +482,13 @@
     "statements": ("broker_statements", "statement a second"), "zones": ("zones", "zone"),
     "connections": ("broker_connections", "connection"), "regions": ("regions", "region"),
 }
+
+
+def planned(axis):
+    """(the operators' figure, one of it) of an axis; `brokers_node_lost` counts brokers too."""
+    return SIZES.get(axis) or SIZES.get(axis.split("_")[0]) or (None, axis.removesuffix("s"))
+
+
 # Suites whose axis is a part of the fleet: its size.
 PARTS = {"zone_lost": lambda operators: operators.value("databases") / operators.value("zones")}
 # Axes that are so many a second.
@@ -487,8 +498,9 @@
 FIXED = "fixed"  # the axis of what a suite holds still
 
 # A figure of the page: the sum of series at the size to plan with, or at `size`. `of`: (suite, axis, role,
-# measure) and how it is taken: "" as it is, "*NAME" or "/NAME" times or by an operators' figure, "at N" at a
-# size of its own, "slope": the line's slope, "among SUITE": played among as many brokers as that suite had.
+# measure) and how it is taken: "" as it is; "*NAME" or "/NAME" times or by an operators' figure, "+NAME" times
+# one that was played as a whole; "slope": the line's slope; "among SUITE": played among as many brokers as that
+# suite had.
 # `size` is a number, or a function of the operators. `limit` names an operators' figure; `least`: that is the least it
 # must be, not the most. `glance` has the row's figure in the first table, under these words. `floor`: the row is
 # an upper bound, and this label's row the lower one.
@@ -676,6 +688,53 @@
         [real("reloads", "changes", "broker", "processor_per_second", "slope")], None, "a SIGHUP"),
 ]
 
+
+
+def plane(going_on, role, measure, taken=""):
+    return (CONTROL, "brokers" + going_on, role, measure, taken)
+
+
+def stream(going_on, taken=""):
+    return [plane(going_on, "broker", "bytes_told", taken), plane(going_on, "broker", "bytes_heard", taken)]
+
+
+# Of the control plane (control.csv): on the page where they were measured.
+PLANE_ROWS = [
+    Row("control", "messages", "the control plane's stream at rest, both ways", stream("_at_rest")),
+    Row("control", "messages", "bytes of all of it, with a new configuration each second",
+        TELLS + POLLS + stream("_publish_each_second"), "control_bytes"),
+    Row("control", "processor time", "the control plane's stream at rest",
+        [plane("_at_rest", "hollow_broker", "processor")], "control_core"),
+    Row("control", "processor time", "the stream, with a new configuration each second",
+        [plane("_publish_each_second", "hollow_broker", "processor")], "control_core"),
+    Row("machines", "messages", "bytes both ways at rest, all brokers' together", stream("_at_rest", "+brokers"),
+        None, "at rest, all"),
+    Row("machines", "messages", "bytes both ways, a new configuration each second, all brokers' together",
+        stream("_publish_each_second", "+brokers"), None, "a version each second, all"),
+    Row("machines", "processor time", "writer at rest", [plane("_at_rest", "writer", "processor")]),
+    Row("machines", "processor time", "writer, a new configuration each second",
+        [plane("_publish_each_second", "writer", "processor")], None, "writer, a version each second"),
+    Row("machines", "processor time", "busiest follower, a new configuration each second",
+        [plane("_publish_each_second", "follower", "processor_most")]),
+    Row("machines", "memory", "largest node, resident",
+        [plane("_publish_each_second", "control_node", "resident_most")], None, "largest"),
+    Row("machines", "time", "publish to kept on disk, p99", [plane("", "fleet", "publish_to_kept_p99")]),
+    Row("machines", "time", "publish to in force at a broker, p50", [plane("", "fleet", "publish_to_broker_p50")]),
+    Row("machines", "time", "publish to in force at a broker, p99", [plane("", "fleet", "publish_to_broker_p99")]),
+    Row("machines", "time", "publish to in force at the last broker, p50",
+        [plane("", "fleet", "publish_to_last_broker_p50")]),
+    Row("machines", "time", "publish to in force at the last broker, the most",
+        [plane("", "fleet", "publish_to_last_broker_most")], "config_limit"),
+    Row("machines", "time", "the same with a node lost, the most",
+        [plane("_node_lost", "fleet", "publish_to_last_broker_most")], "config_limit"),
+    Row("machines", "time", "half of the brokers cut off, and back: from then to in force, the most",
+        [plane("_half_cut", "fleet", "healed_to_in_force_most")], "config_limit"),
+    Row("machines", "time", "all streams reset at once: until the last is up again",
+        [plane("_reconnect_wave", "fleet", "reset_to_connected_most")], "config_limit"),
+    Row("machines", "time", "brokers restarted at once: from then to in force, the most",
+        [plane("_restart_wave", "fleet", "start_to_in_force_most")], "config_limit"),
+]
+
 # A carrier is (file, name): the check looks for both in the sources.
 ROLES = {
     "client": Role("Client side of a broker", [
@@ -770,7 +829,7 @@
 
 
 def row_named(label):
-    found = [row for row in ROWS if row.label == label]
+    found = [row for row in ROWS + PLANE_ROWS if row.label == label]
     if len(found) != 1:
         raise KeyError(label)
     return found[0]
@@ -786,14 +845,8 @@
         self.suites = sorted({key.suite for key in series})
         self.built = os.path.exists(os.path.join(root, PLANE))
         self.roles = ROLES | (BUILT if self.built else {})
-        # Each measure of the control plane has a row.
-        self.all_rows = list(ROWS)
-        for key in self.fits:
-            if key.suite == CONTROL:
-                timed = UNITS.get(series[key].unit, ("",))[0] == "s"
-                self.all_rows.append(Row(
-                    "machines", "time" if timed else "state", f"{key.role}: {key.measure.replace('_', ' ')}",
-                    [(*key, "")], "config_limit" if timed and "in_force" in key.measure else None))
+        # Of the control plane what was measured.
+        self.all_rows = ROWS + [row for row in PLANE_ROWS if self.find(row)]
 
     def unit(self, key):
         """Of a series, with what is told for each second as a rate."""
@@ -801,15 +854,13 @@
         rate = key.measure.endswith("_per_second") and unit in UNITS and unit + "/s" in UNITS
         return unit + "/s" if rate else unit
 
-    def size(self, key, row=None, taken=""):
+    def size(self, key, row=None):
         """Of a row, or the size to plan with along a series' axis; if there is none, the largest played."""
-        if taken.startswith("at "):
-            return float(taken[3:])
         if row is not None and row.size is not None:
             return row.size(self.operators) if callable(row.size) else row.size
         if key.suite in PARTS:
             return PARTS[key.suite](self.operators)
-        name = SIZES.get(key.axis, (None,))[0]
+        name = planned(key.axis)[0]
         return self.operators.value(name) if name else self.fits[key].sizes[-1]
 
     def find(self, row):
@@ -827,10 +878,9 @@
             # So much a second for one a second more: so much for one.
             unit = self.series[key].unit if key.axis in RATES else unit
         else:
-            size = self.size(key, row, taken)
-            value = fit.at(size if taken.startswith("at ") else part * size)
+            value = fit.at(part * self.size(key, row))
         kind, factor = UNITS.get(unit, (unit, 1))
-        if taken.startswith("*"):
+        if taken.startswith(("*", "+")):
             value *= part * self.operators.value(taken[1:])
         elif taken.startswith("/"):
             value /= part * self.operators.value(taken[1:])
@@ -853,7 +903,7 @@
     def beyond(self, row):
         out = []
         for key, taken in self.find(row):
-            size = self.size(key) if taken == "slope" else self.size(key, row, taken)
+            size = self.size(key) if taken == "slope" else self.size(key, row)
             if taken.startswith("*"):  # what one broker showed is taken times all
                 out.append(self.operators.value(taken[1:]))
             elif taken.startswith("among "):
@@ -870,7 +920,7 @@
         out, several = [], len(row.of) > 1
         for key, taken in self.find(row):
             fit = self.fits[key]
-            one = SIZES.get(key.axis, (None, key.axis.removesuffix("s")))[1]
+            one = planned(key.axis)[1]
             if taken == "slope":
                 error = "?" if fit.slope_error is None else shown(*self.in_base(fit.slope_error, key, True))
                 out.append(f"± {error}, {fit.told()}")
@@ -925,6 +975,8 @@
         plane = [row for row in self.rows("machines") if row.limit]  # there once it was measured
         needs = [(need, row_named(need.label) if need.label else None) for need in NEEDS]
         needs += [(Need(row.limit, f"with it, {row.label}", row.label), row) for row in plane]
+        needs += [(Need(row.limit, f"control, {row.label}", row.label), row) for row in self.rows("control")
+                  if row in PLANE_ROWS and row.limit]
         if self.built and not plane:
             needs.append((Need("config_limit", "the same, with the control plane", None, "not played"), None))
         for need, row in needs:
@@ -972,7 +1024,7 @@
             failures.append(Failure(
                 "", "a change of configuration, by the control plane", "config_changes",
                 lambda o: f"each of {plain(o.value('brokers'))} brokers",
-                [row for row in plane if not row.limit], [row for row in plane if row.limit]))
+                [row for row in plane if row.resource == "messages"], [row for row in plane if row.limit]))
         return table(["how often", "what", "whom it hits", "cost", "how long"], [
             [self.operators.text(f.figure) if f.figure else f.when, f.what, f.hits(self.operators),
              told(f.costs), told(f.times)] for f in failures])
@@ -1050,7 +1102,7 @@
     def extrapolated(self):
         out = []
         for key, fit in self.fits.items():
-            if (key.axis in SIZES or key.suite in PARTS) and fit.beyond(self.size(key)) > 1:
+            if (planned(key.axis)[0] or key.suite in PARTS) and fit.beyond(self.size(key)) > 1:
                 out.append([f"{key.suite}: {key.role} {key.measure}", size_text(fit.sizes[-1]),
                             size_text(self.size(key)), plain(fit.beyond(self.size(key))), fit.told()])
         for row in self.all_rows:
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -111,6 +111,12 @@
         self.assertLess(got.curve(388), 0)
         self.assertAlmostEqual(got.at(370), 11)
 
+    def test_play_0_sums_up_and_is_not_fitted(self):
+        got = capacity.Fit(series([(1, 0, 9), (1, 1, 2), (1, 2, 4), (2, 1, 6), (2, 2, 6), (3, 0, 8)]))
+        self.assertEqual((got.at(1), got.at(2), got.at(3), got.n), (9, 6, 8, 5))
+        same = capacity.Fit(series([(1, 1, 2), (1, 2, 4), (2, 1, 6), (2, 2, 6), (3, 1, 8)]))
+        self.assertEqual((got.slope, got.slope_error), (same.slope, same.slope_error))
+
     def test_how_far_beyond(self):
         got = fit([(100, 1), (350, 2)])
         self.assertEqual((got.beyond(700), got.beyond(350), got.beyond(7)), (2, 1, 1))
@@ -419,12 +425,23 @@
         self.assertNotIn("missing: a control plane", text())
         self.assertIn("| built, not measured at the size |", text())
         self.assertIn("| the same, with the control plane | - | within 18 s | not played | not measured |", text())
-        self.write([f"control,brokers,{x},1,fleet,publish_to_in_force_{which},ms,{x}"
-                    for x in (10, 100, 300, 700) for which in ("p50", "p99", "most")])
-        self.assertIn('| time | fleet: publish to in force p99 | 700 ms | 3.89% of "within 18 s" | line, ', text())
-        self.assertIn("in force at all brokers (before the control plane) | - | within 18 s | at one b", text())
-        self.assertIn("| with it, fleet: publish to in force most | 700 ms | within 18 s | not up to 10", text())
-        self.assertIn("| each of 700 brokers | not measured | fleet: publish to in force most: 700 ms; ", text())
+        self.write([f"control,brokers,{x},{play},fleet,publish_to_last_broker_{which},ms,{x + play}"
+                    for x in (10, 100, 300, 700) for which in ("p50", "most") for play in (0, 1, 2)]
+                   + [f"control,brokers_at_rest,{x},1,broker,bytes_{way},B/s,10"
+                      for x in (10, 100, 300, 700) for way in ("told", "heard")]
+                   + [f"control,brokers_at_rest,{x},1,other,thing,count,10" for x in (10, 100, 300, 700)])
+        for line in (
+            # the summary of all plays, not their mean
+            '| time | publish to in force at the last broker, the most | 700 ms | 3.89% of "within 18 s" | line, ',
+            "in force at all brokers (before the control plane) | - | within 18 s | at one b",
+            "| with it, publish to in force at the last broker, the most | 700 ms | within 18 s | not up to 10",
+            "| each of 700 brokers | bytes both ways at rest, all brokers' together: 14 KB/s | publish to in force at "
+            "the last broker, the most: 700 ms |",
+            "| the control plane's stream at rest, both ways | 20 bytes/s | - | brokers_at_rest: flat | 1 |",
+            "| control: other thing | brokers_at_rest to 700 | 4 | flat | 0 ± 0 | 10 | 1 |",
+        ):
+            self.assertIn(line, text())
+        self.assertNotIn("node lost", text())
 
 
 if __name__ == "__main__":
