--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -293,7 +293,7 @@
         return self.series.means[b] + (x - b) * (self.series.means[b] - self.series.means[a]) / (b - a)
 
     def at(self, x):
-        """The mean of its plays at a size that was played; between two such, the straight line; else the curve."""
+        """The mean of its plays at a size that was played; between two, the straight line; else the curve."""
         means = self.series.means
         if x in means:
             return means[x]
@@ -719,8 +719,10 @@
     Row("machines", "memory", "largest node, resident",
         [plane("_publish_each_second", "control_node", "resident_most")], None, "largest"),
     Row("machines", "time", "publish to kept on disk, p99", [plane("", "fleet", "publish_to_kept_p99")]),
-    Row("machines", "time", "publish to in force at a broker, p50", [plane("", "fleet", "publish_to_broker_p50")]),
-    Row("machines", "time", "publish to in force at a broker, p99", [plane("", "fleet", "publish_to_broker_p99")]),
+    Row("machines", "time", "publish to in force at a broker, p50",
+        [plane("", "fleet", "publish_to_broker_p50")]),
+    Row("machines", "time", "publish to in force at a broker, p99",
+        [plane("", "fleet", "publish_to_broker_p99")]),
     Row("machines", "time", "publish to in force at the last broker, p50",
         [plane("", "fleet", "publish_to_last_broker_p50")]),
     Row("machines", "time", "publish to in force at the last broker, the most",
@@ -1002,6 +1004,11 @@
                 least = row_named(row.floor)
                 out.append((1.0, [need.what, f"{self.text(least)} to {self.text(row)}", limit,
                                   "lies between the bounds", "not decided"]))
+            elif self.beyond(row) > 1 and any(self.fits[key].shape == "one size" for key, _ in self.find(row)):
+                good, _ = self.held(row)
+                out.append((LOOKED if good else 1.0, [
+                    need.what, self.text(row), limit, "not known: one size played",
+                    "holds as far as played" if good else "breaks"]))
             else:
                 at = self.breaks_at(row)
                 where = (f"not up to {LOOKED} times the size" if at is None else
@@ -1014,8 +1021,8 @@
 
     def failures(self):
         def told(labels):
-            rows = [row for row in labels if isinstance(row, Row)]
-            rows += [row for row in map(row_named, (n for n in labels if isinstance(n, str))) if self.find(row)]
+            rows = [row if isinstance(row, Row) else row_named(row) for row in labels]
+            rows = [row for row in rows if self.find(row)]
             return "; ".join(f"{row.label}: {self.text(row)}" for row in rows) or "not measured"
 
         failures = list(FAILURES)
@@ -1110,7 +1117,8 @@
                 if taken.startswith("among ") and self.beyond(row) > 1:
                     most = self.most_brokers(taken[6:])
                     size = self.operators.value("brokers")
-                    out.append([row.label, size_text(most), size_text(size), plain(size / most), "taken as it is"])
+                    out.append([row.label, size_text(most), size_text(size), plain(size / most),
+                                "taken as it is"])
                 if taken.startswith("*"):
                     times = self.operators.value(taken[1:])
                     out.append([f"{row.label}: from one broker", "1", size_text(times), plain(times),
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -442,6 +442,8 @@
         ):
             self.assertIn(line, text())
         self.assertNotIn("node lost", text())
+        self.write(["control,brokers,10,0,fleet,publish_to_last_broker_most,ms,30"])
+        self.assertIn("| 30 ms | within 18 s | not known: one size played | holds as far as played |", text())
 
 
 if __name__ == "__main__":
