--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -6,7 +6,8 @@
     capacity.py --fits     prints the fit of every series of the results
 
 Files: results.csv (long form, written by `make scale`) and, where it lies beside it, control.csv (of the same
-form: the control plane's own runs), operators.json (the operators' figures, word for word), and the page. Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
+form: the control plane's own runs), operators.json (the operators' figures, word for word), and the page.
+Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
 
 What is generated stands on the page between <!--begin:NAME--> and <!--end:NAME-->, each on a line of its own,
 or within a line between <!--v:NAME--> and <!--/v-->. All other text is prose, and a number may stand there
@@ -1104,7 +1105,16 @@
                         held.append(f"{key.measure.replace('_', ' ')} {told}")
                 each = " to ".join(dict.fromkeys((str(plays[0]), str(plays[-1]))))
                 out.append([suite, axis, ", ".join(map(size_text, sizes)), each, ", ".join(held) or "-"])
-        return table(["suite", "along", "sizes", "plays of each", "held still"], out)
+        told = table(["suite", "along", "sizes", "plays of each", "held still"], out)
+        if CONTROL in self.suites:
+            told += ["", *wrapped(
+                "Suite `control`: seven real control nodes, up to 100 real brokers, and for the rest hollow ones, 50 to "
+                "a process (the program's own stream to a node, on real sockets), all links through relays of one "
+                "thread, which adds to each time. `brokers_node_lost`: a node is killed, and at once the next version "
+                "published; `brokers_half_cut`: half of the brokers lose their links, and get them back; "
+                "`brokers_reconnect_wave`: all links are reset at once; `brokers_restart_wave`: as many as 250 hollow "
+                "brokers are killed and started at once.")]
+        return told
 
     def extrapolated(self):
         out = []
