--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -351,6 +351,22 @@
         self.run_it()
         self.assertIn("| 0.48% of a core | 1.2% of a core | at 3.58 times the size | holds |", self.text())
 
+    def test_what_few_brokers_heard_is_taken_as_it_is_and_told(self):
+        self.write([f"real_events,events,{x},1,changelog,event_to_last_broker_most,us,9000" for x in (2, 10, 40)])
+        self.run_it()
+        self.assertIn('the most | 9 ms | 0.05% of "within 18 s" | played among 200 brokers | 3.5 |', self.text())
+        self.assertIn("to the last broker, the most | 200 | 700 | 3.5 | taken as it is |", self.text())
+
+    def test_what_lies_under_the_least_is_not_held(self):
+        self.rows = [row.replace(",4710", ",1570") for row in self.rows]
+        self.write()
+        self.run_it()
+        self.assertIn('NOT HELD: 50% of "3,140 statements a second"', self.text())
+        self.assertIn("| statements a broker | 1,570 | 3,140 statements a second | at 0.5 times | breaks |", self.text())
+        sheet = capacity.Sheet(ROOT, capacity.read_results(self.results), self.operators)
+        row = capacity.row_named("statements answered a second, asked twice as many")
+        self.assertEqual((sheet.strain(row), sheet.held(row)[0]), (2, False))
+
     def test_a_limit_between_two_bounds_is_not_decided(self):
         def idle(us):
             return [",".join([*row.split(",")[:-1], str(us)]) if row.startswith("real_idle") else row
@@ -442,6 +458,10 @@
         ):
             self.assertIn(line, text())
         self.assertNotIn("node lost", text())
+        self.write([f"control,brokers_node_lost,{x},1,fleet,publish_to_last_broker_most,ms,{x}"
+                    for x in (50, 100, 200, 350)])
+        self.assertIn("| the same with a node lost, the most | 700 ms | 3.89% of \"within 18 s\" | line, ", text())
+        self.assertIn("| control: fleet publish_to_last_broker_most | 350 | 700 | 2 | line |", text())
         self.write(["control,brokers,10,0,fleet,publish_to_last_broker_most,ms,30"])
         self.assertIn("| 30 ms | within 18 s | not known: one size played | holds as far as played |", text())
 
