--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -6,7 +6,8 @@
     capacity.py --fits     prints the fit of every series of the results
 
 Files: results.csv (long form, written by `make scale`) and, where it lies beside it, control.csv (of the same
-form: the control plane's own runs), operators.json (the operators' figures, word for word), and the page. Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
+form: the control plane's own runs), operators.json (the operators' figures, word for word), and the page.
+Nothing else goes in: no clock, no load, no random draw. Bad input: file, line, reason, exit 2.
 
 What is generated stands on the page between <!--begin:NAME--> and <!--end:NAME-->, each on a line of its own,
 or within a line between <!--v:NAME--> and <!--/v-->. All other text is prose, and a number may stand there
@@ -54,19 +55,23 @@
 
 
 class Series:
-    """All plays of one measure along one axis."""
+    """All plays of one measure along one axis. Play 0 sums up all plays of its size: it is the size's figure, and
+    the others are what is fitted."""
 
     def __init__(self, key, unit):
         self.key, self.unit, self.points = key, unit, []
 
     def finish(self):
         self.points.sort()
+        summaries = {x: y for x, play, y in self.points if play == 0}
+        played = {x for x, play, _ in self.points if play > 0}
+        self.points = [(x, play, y) for x, play, y in self.points if play > 0 or x not in played]
         by_size = collections.defaultdict(list)
         for x, play, y in self.points:
             by_size[x].append(y)
         self.sizes = sorted(by_size)
         self.by_size = by_size
-        self.means = {x: math.fsum(by_size[x]) / len(by_size[x]) for x in self.sizes}
+        self.means = {x: summaries.get(x, math.fsum(by_size[x]) / len(by_size[x])) for x in self.sizes}
         self.plays = sorted(len(by_size[x]) for x in self.sizes)
         return self
 
@@ -289,18 +294,15 @@
         return self.series.means[b] + (x - b) * (self.series.means[b] - self.series.means[a]) / (b - a)
 
     def at(self, x):
-        """The value at a size: the mean of its plays where it was played; else the curve."""
-        if x in self.series.means:
-            return self.series.means[x]
-        if self.shape == "flat":
-            return self.series.means[self.sizes[-1]] if x > self.sizes[-1] else self.mean
-        if self.shape == "levels off" and x < self.sizes[-1]:
-            below = max((s for s in self.sizes if s < x), default=None)
-            if below is None:
-                return self.series.means[self.sizes[0]]
-            above = min(s for s in self.sizes if s > x)
-            a, b = self.series.means[below], self.series.means[above]
-            return a + (b - a) * (x - below) / (above - below)
+        """The mean of its plays at a size that was played; between two, the straight line; else the curve."""
+        means = self.series.means
+        if x in means:
+            return means[x]
+        if self.sizes[0] < x < self.sizes[-1]:
+            below, above = max(s for s in self.sizes if s < x), min(s for s in self.sizes if s > x)
+            return means[below] + (means[above] - means[below]) * (x - below) / (above - below)
+        if self.shape == "flat" or (self.shape == "levels off" and x < self.sizes[0]):
+            return means[self.sizes[-1] if x > self.sizes[-1] else self.sizes[0]]
         return self.curve(x)
 
     def beyond(self, x):
@@ -481,6 +483,15 @@
     "statements": ("broker_statements", "statement a second"), "zones": ("zones", "zone"),
     "connections": ("broker_connections", "connection"), "regions": ("regions", "region"),
 }
+
+
+def planned(axis):
+    """(the operators' figure, one of it) of an axis; `brokers_node_lost` counts brokers too."""
+    return SIZES.get(axis) or SIZES.get(axis.split("_")[0]) or (None, axis.removesuffix("s"))
+
+
+# Suites whose axis is a part of the fleet: its size.
+PARTS = {"zone_lost": lambda operators: operators.value("databases") / operators.value("zones")}
 # Axes that are so many a second.
 RATES = ("statements", "events", "changes")
 # Roles of the results that say how a play was made, and nothing of the program.
@@ -488,8 +499,9 @@
 FIXED = "fixed"  # the axis of what a suite holds still
 
 # A figure of the page: the sum of series at the size to plan with, or at `size`. `of`: (suite, axis, role,
-# measure) and how it is taken: "" as it is, "*NAME" or "/NAME" times or by an operators' figure, "at N" at a
-# size of its own, "slope": the line's slope, "among SUITE": played among as many brokers as that suite had.
+# measure) and how it is taken: "" as it is; "*NAME" or "/NAME" times or by an operators' figure, "+NAME" times
+# one that was played as a whole; "slope": the line's slope; "among SUITE": played among as many brokers as that
+# suite had.
 # `size` is a number, or a function of the operators. `limit` names an operators' figure; `least`: that is the least it
 # must be, not the most. `glance` has the row's figure in the first table, under these words. `floor`: the row is
 # an upper bound, and this label's row the lower one.
@@ -523,6 +535,7 @@
 TELLS = [hollow("control", "bytes_sent_per_second"), hollow("control", "bytes_received_per_second")]
 POLLS = [polled("bytes_sent_per_second", "/brokers"), polled("bytes_received_per_second", "/brokers")]
 REDUCER = hollow("control", "processor_per_second")
+IDLE = real("idle", "databases", "control", "processor_per_second")
 TWICE = 6280  # statements a second; the most that is asked of one broker
 FEW_EVENTS = 2  # a second; the fewest that are played
 FEW_SOCKETS, MANY_SOCKETS = 1024, 8192  # descriptors; the fewest and the most that are played
@@ -587,6 +600,14 @@
         [real("sockets", "sockets", "data", "dials_per_second")], None, "", MANY_SOCKETS),
     Row("data", "messages", "answered a second, with 1,024 descriptors in all",
         [real("sockets", "sockets", "client", "answered_per_second")], None, "", FEW_SOCKETS),
+    Row("data", "messages", "served in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "served_per_second", "")]),
+    Row("data", "messages", "refused in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "refused_per_second", "")]),
+    Row("data", "messages", "failed in the second after a zone's databases left",
+        [("zone_lost", "databases", "lost", "failed_per_second", "")]),
+    Row("data", "messages", "refused in the second after they came back",
+        [("zone_lost", "databases", "back", "refused_per_second", "")]),
     Row("data", "processor time", "process, control included", [asked("broker", "processor_per_second")],
         None, "process"),
     Row("data", "processor time", "process, one statement more",
@@ -607,10 +628,10 @@
     Row("control", "messages", "datagrams heard a second",
         [hollow("control", "messages_received_per_second")]),
     Row("control", "processor time", "at least: an idle process, before all databases",
-        [asked("broker", "processor_per_second", "at 0")], "control_core", "at least"),
+        [IDLE], "control_core", "at least"),
     Row("control", "processor time",
         "at most: the reducer's and an idle process's together, ticks counted twice",
-        [REDUCER, asked("broker", "processor_per_second", "at 0")], "control_core", "at most", None, False,
+        [REDUCER, IDLE], "control_core", "at most", None, False,
         "at least: an idle process, before all databases"),
     Row("control", "processor time", "reducer's ticks, datagrams and events, under statements", [REDUCER],
         "control_core"),
@@ -621,10 +642,16 @@
     Row("control", "processor time", "one event of the change log, process",
         [real("events", "events", "broker", "processor_per_second", "slope")]),
     Row("control", "processor time", "a whole list, reducer", [hollow("control", "whole_list_each")]),
+    Row("control", "processor time", "a zone's databases leave in one event, reducer",
+        [("zone_lost", "databases", "lost", "list_event_each", "")]),
+    Row("control", "processor time", "and come back in one, reducer",
+        [("zone_lost", "databases", "back", "list_event_each", "")]),
+    Row("control", "processor time", "ticks and datagrams in the second after they left, reducer",
+        [("zone_lost", "databases", "lost", "control_processor_per_second", "")], "control_core"),
     Row("control", "memory", "heap of the reducer, before any statement", [hollow("control", "memory_bytes")],
         "control_memory", "heap"),
     Row("control", "memory", "an idle process, resident, all that it is",
-        [asked("broker", "resident_bytes", "at 0")], "control_memory", "idle process"),
+        [real("idle", "databases", "broker", "resident_bytes")], "control_memory", "idle process"),
     # a database, before all brokers
     Row("database", "state", "connections held at each, all brokers together",
         [real("databases", "databases", "database", "connections_held", "*brokers")], None, "connections"),
@@ -662,6 +689,55 @@
         [real("reloads", "changes", "broker", "processor_per_second", "slope")], None, "a SIGHUP"),
 ]
 
+
+
+def plane(going_on, role, measure, taken=""):
+    return (CONTROL, "brokers" + going_on, role, measure, taken)
+
+
+def stream(going_on, taken=""):
+    return [plane(going_on, "broker", "bytes_told", taken), plane(going_on, "broker", "bytes_heard", taken)]
+
+
+# Of the control plane (control.csv): on the page where they were measured.
+PLANE_ROWS = [
+    Row("control", "messages", "the control plane's stream at rest, both ways", stream("_at_rest")),
+    Row("control", "messages", "bytes of all of it, with a new configuration each second",
+        TELLS + POLLS + stream("_publish_each_second"), "control_bytes"),
+    Row("control", "processor time", "the control plane's stream at rest",
+        [plane("_at_rest", "hollow_broker", "processor")], "control_core"),
+    Row("control", "processor time", "the stream, with a new configuration each second",
+        [plane("_publish_each_second", "hollow_broker", "processor")], "control_core"),
+    Row("machines", "messages", "bytes both ways at rest, all brokers' together", stream("_at_rest", "+brokers"),
+        None, "at rest, all"),
+    Row("machines", "messages", "bytes both ways, a new configuration each second, all brokers' together",
+        stream("_publish_each_second", "+brokers"), None, "a version each second, all"),
+    Row("machines", "processor time", "writer at rest", [plane("_at_rest", "writer", "processor")]),
+    Row("machines", "processor time", "writer, a new configuration each second",
+        [plane("_publish_each_second", "writer", "processor")], None, "writer, a version each second"),
+    Row("machines", "processor time", "busiest follower, a new configuration each second",
+        [plane("_publish_each_second", "follower", "processor_most")]),
+    Row("machines", "memory", "largest node, resident",
+        [plane("_publish_each_second", "control_node", "resident_most")], None, "largest"),
+    Row("machines", "time", "publish to kept on disk, p99", [plane("", "fleet", "publish_to_kept_p99")]),
+    Row("machines", "time", "publish to in force at a broker, p50",
+        [plane("", "fleet", "publish_to_broker_p50")]),
+    Row("machines", "time", "publish to in force at a broker, p99",
+        [plane("", "fleet", "publish_to_broker_p99")]),
+    Row("machines", "time", "publish to in force at the last broker, p50",
+        [plane("", "fleet", "publish_to_last_broker_p50")]),
+    Row("machines", "time", "publish to in force at the last broker, the most",
+        [plane("", "fleet", "publish_to_last_broker_most")], "config_limit"),
+    Row("machines", "time", "the same with a node lost, the most",
+        [plane("_node_lost", "fleet", "publish_to_last_broker_most")], "config_limit"),
+    Row("machines", "time", "half of the brokers cut off, and back: from then to in force, the most",
+        [plane("_half_cut", "fleet", "healed_to_in_force_most")], "config_limit"),
+    Row("machines", "time", "all streams reset at once: until the last is up again",
+        [plane("_reconnect_wave", "fleet", "reset_to_connected_most")], "config_limit"),
+    Row("machines", "time", "brokers restarted at once: from then to in force, the most",
+        [plane("_restart_wave", "fleet", "start_to_in_force_most")], "config_limit"),
+]
+
 # A carrier is (file, name): the check looks for both in the sources.
 ROLES = {
     "client": Role("Client side of a broker", [
@@ -685,7 +761,8 @@
     "operator": Role("Operator", [("src/app/broker.cpp", "Broker::on_hangup")],
                      "a way of configuration to all brokers, and word of what is in force"),
 }
-# Once the control plane has been measured, these carry, and lack nothing.
+# Once the control plane is in the tree, these carry, and lack nothing.
+PLANE = "src/control/node.cpp"
 BUILT = {
     "machines": Role("The seven control machines", [
         ("src/control/node.cpp", "Node"), ("src/control/store.cpp", "Store"),
@@ -732,9 +809,8 @@
             lambda o: f"an event of the change log at each of {plain(o.value('brokers'))} brokers",
             ("one event of the change log, process", "one event of the change log, reducer"),
             ("from an event to the last broker, the most",)),
-    Failure("a day", "a change of configuration", "config_changes",
-            lambda o: plain(o.value("config_changes") * o.value("brokers"))
-            + " files and SIGHUPs a day, by hand",
+    Failure("a day", "a change of configuration, by hand", "config_changes",
+            lambda o: plain(o.value("config_changes") * o.value("brokers")) + " files and SIGHUPs a day",
             ("one SIGHUP at one broker, the whole file read again",)),
     Failure("a month or two", "a rack or switch goes", None, lambda o: "the operators name no size"),
     Failure("a few a year", "a zone goes", None,
@@ -742,7 +818,9 @@
                       f"{plain(o.value('databases') / o.value('zones'))} databases, "
                       f"{plain(o.value('connections') / o.value('zones'))} connections come anew, "
                       f"{plain(of_a_lost_zone(o))} to each other broker",
-            ("a lost zone's connections coming, at one of the other brokers",),
+            ("a lost zone's connections coming, at one of the other brokers",
+             "a zone's databases leave in one event, reducer",
+             "refused in the second after a zone's databases left"),
             ("until a lost zone's connections are up, at one of the other brokers",)),
     Failure("now and then", "regions lose each other for an hour", None,
             lambda o: f"{plain(o.value('brokers') / o.value('regions'))} brokers on each side"),
@@ -754,7 +832,7 @@
 
 
 def row_named(label):
-    found = [row for row in ROWS if row.label == label]
+    found = [row for row in ROWS + PLANE_ROWS if row.label == label]
     if len(found) != 1:
         raise KeyError(label)
     return found[0]
@@ -768,15 +846,10 @@
         self.fits = {key: Fit(one) for key, one in series.items()
                      if key.role not in ABOUT_THE_PLAY and key.axis != FIXED}
         self.suites = sorted({key.suite for key in series})
-        self.roles = ROLES | (BUILT if CONTROL in self.suites else {})
-        # Each measure of the control plane has a row.
-        self.all_rows = list(ROWS)
-        for key in self.fits:
-            if key.suite == CONTROL:
-                timed = UNITS.get(series[key].unit, ("",))[0] == "s"
-                self.all_rows.append(Row(
-                    "machines", "time" if timed else "state", f"{key.role}: {key.measure.replace('_', ' ')}",
-                    [(*key, "")], "config_limit" if timed and "in_force" in key.measure else None))
+        self.built = os.path.exists(os.path.join(root, PLANE))
+        self.roles = ROLES | (BUILT if self.built else {})
+        # Of the control plane what was measured.
+        self.all_rows = ROWS + [row for row in PLANE_ROWS if self.find(row)]
 
     def unit(self, key):
         """Of a series, with what is told for each second as a rate."""
@@ -784,13 +857,13 @@
         rate = key.measure.endswith("_per_second") and unit in UNITS and unit + "/s" in UNITS
         return unit + "/s" if rate else unit
 
-    def size(self, key, row=None, taken=""):
+    def size(self, key, row=None):
         """Of a row, or the size to plan with along a series' axis; if there is none, the largest played."""
-        if taken.startswith("at "):
-            return float(taken[3:])
         if row is not None and row.size is not None:
             return row.size(self.operators) if callable(row.size) else row.size
-        name = SIZES.get(key.axis, (None,))[0]
+        if key.suite in PARTS:
+            return PARTS[key.suite](self.operators)
+        name = planned(key.axis)[0]
         return self.operators.value(name) if name else self.fits[key].sizes[-1]
 
     def find(self, row):
@@ -808,10 +881,9 @@
             # So much a second for one a second more: so much for one.
             unit = self.series[key].unit if key.axis in RATES else unit
         else:
-            size = self.size(key, row, taken)
-            value = fit.at(size if taken.startswith("at ") else part * size)
+            value = fit.at(part * self.size(key, row))
         kind, factor = UNITS.get(unit, (unit, 1))
-        if taken.startswith("*"):
+        if taken.startswith(("*", "+")):
             value *= part * self.operators.value(taken[1:])
         elif taken.startswith("/"):
             value /= part * self.operators.value(taken[1:])
@@ -834,7 +906,7 @@
     def beyond(self, row):
         out = []
         for key, taken in self.find(row):
-            size = self.size(key) if taken == "slope" else self.size(key, row, taken)
+            size = self.size(key) if taken == "slope" else self.size(key, row)
             if taken.startswith("*"):  # what one broker showed is taken times all
                 out.append(self.operators.value(taken[1:]))
             elif taken.startswith("among "):
@@ -851,7 +923,7 @@
         out, several = [], len(row.of) > 1
         for key, taken in self.find(row):
             fit = self.fits[key]
-            one = SIZES.get(key.axis, (None, key.axis.removesuffix("s")))[1]
+            one = planned(key.axis)[1]
             if taken == "slope":
                 error = "?" if fit.slope_error is None else shown(*self.in_base(fit.slope_error, key, True))
                 out.append(f"± {error}, {fit.told()}")
@@ -906,10 +978,14 @@
         plane = [row for row in self.rows("machines") if row.limit]  # there once it was measured
         needs = [(need, row_named(need.label) if need.label else None) for need in NEEDS]
         needs += [(Need(row.limit, f"with it, {row.label}", row.label), row) for row in plane]
+        needs += [(Need(row.limit, f"control, {row.label}", row.label), row) for row in self.rows("control")
+                  if row in PLANE_ROWS and row.limit]
+        if self.built and not plane:
+            needs.append((Need("config_limit", "the same, with the control plane", None, "not played"), None))
         for need, row in needs:
             limit = self.operators.text(need.figure) if need.figure else "none stated"
             if row is None:
-                before = " (before the control plane)" if plane and need.verdict == "breaks" else ""
+                before = " (before the control plane)" if self.built and need.verdict == "breaks" else ""
                 out.append((0.0 if need.verdict == "breaks" else math.inf,
                             [need.what + before, "-", limit, need.where, need.verdict]))
             elif not self.find(row):
@@ -929,6 +1005,11 @@
                 least = row_named(row.floor)
                 out.append((1.0, [need.what, f"{self.text(least)} to {self.text(row)}", limit,
                                   "lies between the bounds", "not decided"]))
+            elif self.beyond(row) > 1 and any(self.fits[key].shape == "one size" for key, _ in self.find(row)):
+                good, _ = self.held(row)
+                out.append((LOOKED if good else 1.0, [
+                    need.what, self.text(row), limit, "not known: one size played",
+                    "holds as far as played" if good else "breaks"]))
             else:
                 at = self.breaks_at(row)
                 where = (f"not up to {LOOKED} times the size" if at is None else
@@ -941,12 +1022,20 @@
 
     def failures(self):
         def told(labels):
-            rows = [row for row in map(row_named, labels) if self.find(row)]
+            rows = [row if isinstance(row, Row) else row_named(row) for row in labels]
+            rows = [row for row in rows if self.find(row)]
             return "; ".join(f"{row.label}: {self.text(row)}" for row in rows) or "not measured"
 
+        failures = list(FAILURES)
+        if self.built:
+            plane = self.rows("machines")
+            failures.append(Failure(
+                "", "a change of configuration, by the control plane", "config_changes",
+                lambda o: f"each of {plain(o.value('brokers'))} brokers",
+                [row for row in plane if row.resource == "messages"], [row for row in plane if row.limit]))
         return table(["how often", "what", "whom it hits", "cost", "how long"], [
             [self.operators.text(f.figure) if f.figure else f.when, f.what, f.hits(self.operators),
-             told(f.costs), told(f.times)] for f in FAILURES])
+             told(f.costs), told(f.times)] for f in failures])
 
     def rows(self, role, resource=None):
         return [row for row in self.all_rows if row.role == role and resource in (None, row.resource)]
@@ -969,6 +1058,8 @@
                         out.append(words if good else f"NOT HELD: {words} ({worst.label})")
             if self.roles[role].lacks:
                 out.append(f"missing: {self.roles[role].lacks}")
+            elif self.built and role in BUILT and not out:
+                out.append("built, not measured at the size")
             return "; ".join(out) or "no limit stated"
 
         return table(["role", *RESOURCES, "against its limit", "carried by"],
@@ -1014,12 +1105,21 @@
                         held.append(f"{key.measure.replace('_', ' ')} {told}")
                 each = " to ".join(dict.fromkeys((str(plays[0]), str(plays[-1]))))
                 out.append([suite, axis, ", ".join(map(size_text, sizes)), each, ", ".join(held) or "-"])
-        return table(["suite", "along", "sizes", "plays of each", "held still"], out)
+        told = table(["suite", "along", "sizes", "plays of each", "held still"], out)
+        if CONTROL in self.suites:
+            told += ["", *wrapped(
+                "Suite `control`: seven real control nodes, up to 100 real brokers, and for the rest hollow ones, 50 to "
+                "a process (the program's own stream to a node, on real sockets), all links through relays of one "
+                "thread, which adds to each time. `brokers_node_lost`: a node is killed, and at once the next version "
+                "published; `brokers_half_cut`: half of the brokers lose their links, and get them back; "
+                "`brokers_reconnect_wave`: all links are reset at once; `brokers_restart_wave`: as many as 250 hollow "
+                "brokers are killed and started at once.")]
+        return told
 
     def extrapolated(self):
         out = []
         for key, fit in self.fits.items():
-            if key.axis in SIZES and fit.beyond(self.size(key)) > 1:
+            if (planned(key.axis)[0] or key.suite in PARTS) and fit.beyond(self.size(key)) > 1:
                 out.append([f"{key.suite}: {key.role} {key.measure}", size_text(fit.sizes[-1]),
                             size_text(self.size(key)), plain(fit.beyond(self.size(key))), fit.told()])
         for row in self.all_rows:
@@ -1027,7 +1127,8 @@
                 if taken.startswith("among ") and self.beyond(row) > 1:
                     most = self.most_brokers(taken[6:])
                     size = self.operators.value("brokers")
-                    out.append([row.label, size_text(most), size_text(size), plain(size / most), "taken as it is"])
+                    out.append([row.label, size_text(most), size_text(size), plain(size / most),
+                                "taken as it is"])
                 if taken.startswith("*"):
                     times = self.operators.value(taken[1:])
                     out.append([f"{row.label}: from one broker", "1", size_text(times), plain(times),
