Test a full disk, a lying node, reloads and ends on the way of the configuration

A node in whose place the test stands offers versions that are damaged, older, of another writer or of an epoch that it does not know: the broker takes the first good one alone, and says why not the others. A writer that can't write refuses what it could not keep, and goes on once there is room. A reload leaves the version in force. Also, Program::signal() after its end did kill(-1): it is to it alone now.

--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -397,9 +397,13 @@
     const auto line = said("bellstair: " + field + " on ");
     return line.substr(line.rfind(' ') + 1);
   }
-  void signal(int number) { ::kill(pid_, number); }
+  // To it alone: after its end there is nobody, and kill(-1) would reach every process there is.
+  void signal(int number) {
+    if (pid_ > 0) ::kill(pid_, number);
+  }
   int wait() {
     int status = 0;
+    if (pid_ <= 0) throw std::runtime_error("it has been waited for");
     ::waitpid(pid_, &status, 0);
     pid_ = -1;
     reader_.join();
--- a/tests/processes/faults_test.cpp
+++ b/tests/processes/faults_test.cpp
@@ -256,6 +256,28 @@
   fleet.broker(0).said(Fleet::in_force({1, 1}));
 }
 
+// No file of it may grow any more, as on a disk that is full.
+TEST(Faults, AWriterWhoseDiskIsFullRefusesWhatItCannotKeepAndGoesOnOnceThereIsRoom) {
+  Fleet fleet;
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("one")).place(), (Place{1, 1}));
+  const auto room = [&](rlim_t bytes) {
+    const rlimit most{bytes, RLIM_INFINITY};
+    ASSERT_EQ(::prlimit(fleet.node("c1").pid(), RLIMIT_FSIZE, &most, nullptr), 0);
+  };
+  room(1);
+  const auto ran = fleet.publish(tenant("two"));
+  EXPECT_EQ(ran.code, 1) << ran;
+  EXPECT_NE(ran.err.find("could not be kept"), std::string::npos) << ran;
+  room(RLIM_INFINITY);
+  const auto again = fleet.publish(tenant("three"));
+  EXPECT_EQ(again.code, 0) << again;
+  EXPECT_EQ(again.place(), (Place{1, 2}));
+  for (std::size_t i = 0; i < fleet.brokers(); ++i) EXPECT_EQ(fleet.ask(i, "three"), "");
+  fleet.restart("c1");
+  EXPECT_EQ(fleet.status().code, 0);
+}
+
 // The writer is cut off from all; the operator names another. The old one knows of nothing, and still takes
 // what it is given: nobody ever has it in force.
 TEST(Faults, AnOldWriterThatReturnsIsRefusedByAll) {
@@ -364,6 +386,58 @@
   EXPECT_EQ(fleet.publish(tenant("two")).code, 0);
 }
 
+// In a node's place there is one that lies. Of all that it offers, the first alone is good.
+TEST(Strangers, ABrokerTakesNoVersionThatIsDamagedOlderOrAnotherWriters) {
+  FleetOptions options;
+  options.brokers = 1;
+  Fleet fleet(options);
+  fleet.all_connected();
+  for (const auto* node : {"c1", "c2", "c3"}) fleet.kill(node);
+  const auto version = [](Place place, const std::string& writer, const std::string& name) {
+    control::Version out{place, writer, "", tenant(name)};
+    out.digest = control::digest_of(out);
+    return out;
+  };
+  const auto welcome = [](const control::Reign& reign) {
+    control::Welcome out;
+    out.fleet = "tunis";
+    out.name = "c1";
+    out.reign = reign;
+    return link::frame(control::encode(out));
+  };
+  const auto offer = [](const control::Version& it) {
+    return link::frame(control::encode(control::Offer{it}));
+  };
+  auto mixed = version({2, 6}, "c1", "mixed");
+  mixed.text = tenant("other");
+  const std::pair<std::string, const char*> kSaid[] = {
+      {welcome({2, "c1"}) + offer(version({2, 5}, "c1", "good")) + offer(version({2, 4}, "c1", "older")) +
+           offer(mixed),
+       "version 2.6 is damaged"},
+      {welcome({1, "c1"}) + offer(version({1, 9}, "c1", "stale")), "knows of epoch 1 only"},
+      {welcome({2, "c9"}) + offer(version({2, 9}, "c9", "second")), "epoch 2 has c1 as its writer, not c9"},
+      {welcome({2, "c1"}) + offer(version({2, 8}, "c9", "foreign")), "has a second writer of its epoch, c9"},
+      {welcome({2, "c1"}) + offer(version({3, 1}, "c1", "unknown")),
+       "is of an epoch that its node does not know"}};
+  fleet.kept_elsewhere.insert({2, 5});
+  std::atomic<std::size_t> turn = 0;
+  Server liar([&](Socket& socket) {
+    socket.more();  // its Hello
+    const auto now = turn++;
+    if (now < std::size(kSaid)) socket.send(kSaid[now].first);
+    socket.ended();
+  });
+  const auto from = fleet.broker(0).lines();
+  fleet.network.place("c1", liar.address());
+  for (const auto& [bytes, problem] : kSaid) fleet.broker(0).said(problem, from);
+  fleet.broker(0).said(Fleet::in_force({2, 5}));
+  EXPECT_EQ(fleet.ask(0, "good"), "");
+  for (const auto* name : {"older", "mixed", "other", "stale", "second", "foreign", "unknown"})
+    EXPECT_NE(fleet.ask(0, name), "") << name;
+  for (const auto place : {Place{2, 4}, {2, 6}, {1, 9}, {2, 9}, {2, 8}, {3, 1}})
+    EXPECT_FALSE(fleet.has(0, place));
+}
+
 // What comes at a node's port from anybody: each is told or cut off, and nobody else notices.
 TEST(Strangers, NoiseEndlessFramesAndOldProtocolsDoNotHoldUpAPublish) {
   FleetOptions options;
--- a/tests/processes/fleet.hpp
+++ b/tests/processes/fleet.hpp
@@ -216,7 +216,7 @@
   // In each process of a broker versions only rise, and each is one that a node has kept. Where it keeps them
   // in a file, they don't go back across its restarts either.
   void check() {
-    std::set<Place> kept;
+    auto kept = kept_elsewhere;
     const auto of_node = [&](const std::vector<std::string>& lines) {
       for (const auto& line : lines) {
         if (const auto at = place_in(line, ": version ", " kept")) kept.insert(*at);
@@ -291,7 +291,8 @@
   std::string directory_;
 
  public:
-  control::Reign reign{1, "c1"};  // of the files that were written at the start
+  control::Reign reign{1, "c1"};   // of the files that were written at the start
+  std::set<Place> kept_elsewhere;  // by what the test itself has in a node's place
   Network network;
   HttpEngine engine;
   ChangeLog changes;
--- a/tests/processes/publish_test.cpp
+++ b/tests/processes/publish_test.cpp
@@ -218,6 +218,27 @@
   for (auto& client : clients) EXPECT_EQ(client.get(), "");
 }
 
+TEST(Publish, AReloadLeavesTheVersionInForceAndAllEndAsTheyDidBefore) {
+  FleetOptions options;
+  options.brokers = 1;
+  Fleet fleet(options);
+  fleet.all_connected();
+  ASSERT_EQ(fleet.publish(tenant("new")).code, 0);
+  const auto from = fleet.broker(0).lines();
+  fleet.broker(0).signal(SIGHUP);
+  fleet.broker(0).said("the configuration was read again", from);
+  EXPECT_EQ(fleet.ask(0, "new"), "");
+  EXPECT_NE(fleet.ask(0, "acme"), "");
+  ASSERT_EQ(fleet.publish(tenant("newer")).code, 0);
+  EXPECT_EQ(fleet.ask(0, "newer"), "");
+  fleet.broker(0).signal(SIGTERM);
+  EXPECT_EQ(fleet.broker(0).wait(), 0);
+  for (const auto* node : {"c1", "c2", "c3"}) {
+    fleet.node(node).signal(SIGTERM);
+    EXPECT_EQ(fleet.node(node).wait(), 0);
+  }
+}
+
 // Nobody named an operator's file: nothing of all this is there.
 TEST(Off, ServeAloneHoldsTheDescriptorsAndThreadsOfThisListAndNoMore) {
   HttpEngine engine([](const Call&) { return rows("x\n"); });
