Test a lying writer before a follower

A node in the writer's place offers a damaged version, names a second writer of its epoch, and knows of an older epoch only: the follower keeps the good version and leaves with the reason each time. Without it a node that compares no epochs passed all tests of several processes.

--- a/tests/processes/faults_test.cpp
+++ b/tests/processes/faults_test.cpp
@@ -438,6 +438,51 @@
     EXPECT_FALSE(fleet.has(0, place));
 }
 
+// The same in the writer's place, before a follower.
+TEST(Strangers, AFollowerTakesNoVersionThatIsDamagedAndFollowsNoOlderOrSecondWriter) {
+  FleetOptions options;
+  options.nodes = {{"c1", "north"}, {"c2", "south"}};
+  options.brokers = 0;
+  Fleet fleet(options);
+  fleet.node("c2").said("follows c1, epoch 1");
+  fleet.kill("c1");
+  control::Version good{{1, 5}, "c1", "", tenant("good")};
+  good.digest = control::digest_of(good);
+  auto mixed = good;
+  mixed.place = {1, 6};
+  const auto bytes = [](const control::Reign& reign, const std::vector<control::Version>& offered) {
+    control::Welcome welcome;
+    welcome.fleet = "tunis";
+    welcome.name = "c1";
+    welcome.reign = reign;
+    auto out = link::frame(control::encode(welcome));
+    for (const auto& version : offered) out += link::frame(control::encode(control::Offer{version}));
+    return out;
+  };
+  std::atomic<int> turn = 0;
+  std::atomic<bool> next = false;
+  Server liar([&](Socket& socket) {
+    socket.more();
+    if (next) {
+      socket.send(bytes({1, "c1"}, {}));
+    } else {
+      socket.send(turn++ == 0 ? bytes({1, "c1"}, {good, mixed}) : bytes({1, "c9"}, {}));
+    }
+    socket.ended();
+  });
+  fleet.network.place("c1", liar.address());
+  fleet.node("c2").said("version 1.5 kept");
+  fleet.node("c2").said("version 1.6 is damaged");
+  fleet.node("c2").said("leaves c1: epoch 1 has two writers");
+  next = true;
+  fleet.write_files({2, "c1"}, {"c2"});
+  fleet.node("c2").signal(SIGHUP);
+  fleet.node("c2").said("leaves c1: it knows of epoch 1 only");
+  Operator tool(fleet, "c2");
+  tool.send(control::AskStatus{});
+  EXPECT_EQ(tool.expect<control::Status>().newest, (Place{1, 5}));
+}
+
 // What comes at a node's port from anybody: each is told or cut off, and nobody else notices.
 TEST(Strangers, NoiseEndlessFramesAndOldProtocolsDoNotHoldUpAPublish) {
   FleetOptions options;
