--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -772,6 +772,8 @@
     ]),
 }
 
+# Plays of one size whose least and most lie further apart than this part of their mean are told.
+APART = 0.5
 # How far beyond the size to plan with a limit is looked for.
 LOOKED = 10
 
@@ -898,6 +900,20 @@
         value = self.value(row)
         return shown(*value) if value else "not measured"
 
+    def apart(self, row):
+        """The least and the most of the plays at the size, told where they lie far apart."""
+        found = self.find(row)
+        if len(found) != 1 or found[0][1] == "slope":
+            return ""
+        key, taken = found[0]
+        plays = self.fits[key].series.by_size.get(self.size(key, row), [0.0])
+        at_size = self.fits[key].at(self.size(key, row))
+        if at_size == 0 or max(plays) - min(plays) <= APART * abs(math.fsum(plays) / len(plays)):
+            return ""
+        value, kind = self.one(row, key, taken)
+        factor = value / at_size
+        return f" ({shown(min(plays) * factor, kind)} to {shown(max(plays) * factor, kind)})"
+
     def part(self, row):
         """Of the limit."""
         value = self.value(row)
@@ -1080,7 +1096,7 @@
             return self.operators.text(row.limit) if row.limit else "-"
 
         out += ["", *table(["", "what", "at the size", "limit", "grows", "beyond"], [
-            [row.resource, row.label, self.text(row), against(row),
+            [row.resource, row.label, self.text(row) + self.apart(row), against(row),
              self.growth(row) or "-", plain(self.beyond(row)) if self.find(row) else "-"]
             for row in rows])] if rows else []
         unmeasured = [resource for resource in RESOURCES
--- a/tests/capacity_test.py
+++ b/tests/capacity_test.py
@@ -357,6 +357,12 @@
         self.assertIn('the most | 9 ms | 0.05% of "within 18 s" | played among 200 brokers | 3.5 |', self.text())
         self.assertIn("to the last broker, the most | 200 | 700 | 3.5 | taken as it is |", self.text())
 
+    def test_plays_that_lie_apart_are_told(self):
+        for second, said in ((3, "| 2,800 | - |"), (0, "| 1,750 (0 to 3,500) | - |")):
+            self.write([f"real_databases,databases,770,2,database,connections_held,count,{second}"])
+            self.run_it()
+            self.assertIn("| connections held at each, all brokers together " + said, self.text())
+
     def test_what_lies_under_the_least_is_not_held(self):
         self.rows = [row.replace(",4710", ",1570") for row in self.rows]
         self.write()
