--- a/benchmarks/scale/capacity.py
+++ b/benchmarks/scale/capacity.py
@@ -1063,7 +1063,7 @@
 
         def verdict(role):
             out = []
-            for resource in RESOURCES:
+            for resource in RESOURCES + OTHERS:
                 rows = [row for row in self.rows(role, resource) if self.part(row) is not None]
                 if rows:  # the one nearest to its limit, or beyond it
                     worst = max(rows, key=self.strain)
@@ -1074,7 +1074,7 @@
                         out.append(words if good else f"NOT HELD: {words} ({worst.label})")
             if self.roles[role].lacks:
                 out.append(f"missing: {self.roles[role].lacks}")
-            elif self.built and role in BUILT and not out:
+            elif self.built and role in BUILT and CONTROL not in self.suites:
                 out.append("built, not measured at the size")
             return "; ".join(out) or "no limit stated"
 
