Take no memory between fork and exec in tests that start the program

A process test failed twice (once of 437 tests in a run, once of 36 repeats beside others): a node that was started again said nothing at all in 20 s, not even what it cannot use. Its child built its arguments after the fork of a process with many threads, where another one may hold the allocator's lock. What was not said is told with all that was.

--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -17,6 +17,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <cstring>
 #include <fstream>
 #include <functional>
 #include <future>
@@ -356,16 +357,26 @@
           rlim_t files = 0) {
     int out[2];
     if (::pipe2(out, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    // All that takes memory comes before the fork: another thread may hold the allocator's lock at that
+    // moment, and its copy in the child is never let go.
+    std::vector<char*> argv{const_cast<char*>(BELLSTAIR_PROGRAM)};
+    for (auto& argument : arguments) argv.push_back(argument.data());
+    argv.push_back(nullptr);
+    std::vector<std::string> variables;
+    for (const auto& [name, value] : environment) variables.push_back(name + "=" + value);
+    std::vector<char*> environ_of;
+    for (auto& variable : variables) environ_of.push_back(variable.data());
+    for (char** old = ::environ; *old != nullptr; ++old) {
+      const std::string_view name(*old, std::strcspn(*old, "="));
+      if (!environment.contains(std::string(name))) environ_of.push_back(*old);
+    }
+    environ_of.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(out[1], STDERR_FILENO);
-      for (const auto& [name, value] : environment) ::setenv(name.c_str(), value.c_str(), 1);
       const rlimit most{files, files};
       if (files != 0) ::setrlimit(RLIMIT_NOFILE, &most);
-      std::vector<char*> argv{const_cast<char*>(BELLSTAIR_PROGRAM)};
-      for (auto& argument : arguments) argv.push_back(argument.data());
-      argv.push_back(nullptr);
-      ::execv(argv[0], argv.data());
+      ::execve(argv[0], argv.data(), environ_of.data());
       ::_exit(127);
     }
     ::close(out[1]);
@@ -390,7 +401,9 @@
     try {
       return lines_.wait([&](const std::string& line) { return line.find(what) != std::string::npos; }, from);
     } catch (const std::exception&) {
-      throw std::runtime_error("it was not said: " + what);
+      std::string all;
+      for (const auto& line : all_lines()) all += "\n  " + line;
+      throw std::runtime_error("it was not said: " + what + "; but" + (all.empty() ? " nothing" : all));
     }
   }
   std::string listens(const std::string& field) {
--- a/tests/processes/process.hpp
+++ b/tests/processes/process.hpp
@@ -48,13 +48,13 @@
 }
 inline Ran run_program(const std::vector<std::string>& arguments) {
   std::vector<std::string> files{temporary(""), temporary("")};
+  std::vector<char*> argv{const_cast<char*>(BELLSTAIR_PROGRAM)};  // before the fork, as in Program
+  for (const auto& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
+  argv.push_back(nullptr);
   const pid_t pid = ::fork();
   if (pid == 0) {
     ::dup2(::open(files[0].c_str(), O_WRONLY | O_TRUNC), STDOUT_FILENO);
     ::dup2(::open(files[1].c_str(), O_WRONLY | O_TRUNC), STDERR_FILENO);
-    std::vector<char*> argv{const_cast<char*>(BELLSTAIR_PROGRAM)};
-    for (const auto& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
-    argv.push_back(nullptr);
     ::execv(argv[0], argv.data());
     ::_exit(127);
   }
