Test accept() that fails for a moment, and slow start's budget over all brokers

A library that is preloaded into the program makes system calls fail as Linux documents them, at rates that a test sets while the program runs, and shifts its wall clock. Seen with it: of 240 connections some are closed unread while accept4() fails for a moment, and the loop spins where the descriptor in reserve cannot be opened again.

--- /dev/null
+++ b/tests/faults/faults.hpp
@@ -0,0 +1,72 @@
+// The test's side of a FaultPlan: its file, and the environment that makes a program load it.
+#pragma once
+
+#include <fcntl.h>
+#include <sys/mman.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <initializer_list>
+#include <map>
+#include <new>
+#include <stdexcept>
+#include <string>
+
+#include "fault_plan.hpp"
+
+namespace bellstair::test {
+
+class Faults {
+ public:
+  explicit Faults(std::uint64_t seed = 1) {
+    const char* folder = std::getenv("TMPDIR");
+    path_ = std::string(folder != nullptr ? folder : "/tmp") + "/bellstair-faults-XXXXXX";
+    const int fd = ::mkstemp(path_.data());
+    if (fd < 0 || ::ftruncate(fd, sizeof(FaultPlan)) != 0) throw std::runtime_error("no file for faults");
+    void* at = ::mmap(nullptr, sizeof(FaultPlan), PROT_READ | PROT_WRITE, MAP_SHARED, fd, 0);
+    ::close(fd);
+    if (at == MAP_FAILED) throw std::runtime_error("faults cannot be mapped");
+    plan_ = new (at) FaultPlan{};
+    plan_->seed = seed;
+  }
+  ~Faults() {
+    ::munmap(plan_, sizeof(FaultPlan));
+    ::unlink(path_.c_str());
+  }
+  Faults(const Faults&) = delete;
+  Faults& operator=(const Faults&) = delete;
+
+  // One call in `one_in` fails from now on, with one of `errors`.
+  void fail(FaultyCall call, std::uint32_t one_in, std::initializer_list<int> errors) {
+    auto& rule = plan_->rule(call);
+    rule.one_in = 0;
+    std::size_t at = 0;
+    for (const int error : errors) rule.errors.at(at++) = error;
+    rule.error_count = static_cast<std::uint32_t>(at);
+    rule.one_in = one_in;
+  }
+  void shorten(FaultyCall call, std::uint32_t one_in) { plan_->rule(call).one_short_in = one_in; }
+  void stop(FaultyCall call) { plan_->rule(call).one_in = 0; }
+  template <class Duration>
+  void step_wall_clock(Duration by) {
+    plan_->wall_clock_offset_ns += std::chrono::duration_cast<std::chrono::nanoseconds>(by).count();
+  }
+  [[nodiscard]] std::uint64_t calls(FaultyCall call) const { return plan_->rule(call).calls; }
+  [[nodiscard]] std::uint64_t injected(FaultyCall call) const { return plan_->rule(call).injected; }
+
+  // For the program that is to suffer them. Where it is built with a sanitizer, that one's library has to
+  // bear another before it.
+  [[nodiscard]] std::map<std::string, std::string> environment() const {
+    const char* sanitizer = std::getenv("ASAN_OPTIONS");
+    const std::string before = sanitizer != nullptr ? std::string(sanitizer) + ":" : "";
+    return {{"LD_PRELOAD", BELLSTAIR_FAULT_LIBRARY},
+            {kFaultPlanVariable, path_},
+            {"ASAN_OPTIONS", before + "verify_asan_link_order=0"}};
+  }
+
+ private:
+  std::string path_;
+  FaultPlan* plan_ = nullptr;
+};
+
+}  // namespace bellstair::test
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -432,12 +432,13 @@
   std::thread reader_;
 };
 
-// A broker that serves, with its change log.
+// A broker that serves, with its change log; `environment` for its process alone.
 class Broker {
  public:
   // `patch`: for the settings, as RFC 7396 merges it in; `member`: so for each engine of the list.
   explicit Broker(const std::vector<std::pair<std::string, std::string>>& engines, const json& fronts = {},
-                  rlim_t files = 0, const json& patch = json::object(), const json& member = json::object()) {
+                  rlim_t files = 0, const json& patch = json::object(), const json& member = json::object(),
+                  std::map<std::string, std::string> environment = {}) {
     json all = json::array();
     for (const auto& [id, at] : engines) {
       all.push_back(server(id, at));
@@ -457,8 +458,8 @@
       arguments.emplace_back("--fronts");
       arguments.push_back(files_.emplace_back(temporary(fronts.dump())));
     }
-    program = std::make_unique<Program>(arguments,
-                                        std::map<std::string, std::string>{{"TEST_SECRET", "secret"}}, files);
+    environment.try_emplace("TEST_SECRET", "secret");
+    program = std::make_unique<Program>(arguments, std::move(environment), files);
     address = program->listens("listen");
     program->said("phase: serving");
   }
--- /dev/null
+++ b/tests/slow_start_test.cpp
@@ -0,0 +1,201 @@
+// Slow start: what all brokers together send to an engine that has just begun stays within its budget, for
+// any number of brokers, mix of classes and state of demand.
+#include <gtest/gtest.h>
+
+#include <cmath>
+#include <deque>
+#include <memory>
+#include <random>
+
+#include "bench.hpp"
+
+namespace heronwell::test {
+namespace {
+
+constexpr EngineId kCold = 9;
+constexpr Time kStep = 20ms;
+
+struct Mix {
+  const char* name;
+  std::vector<double> shares;  // of the requests, by class
+};
+
+// Lookups, reports and loads, as a school's query engines see them.
+Settings school_settings(unsigned gateways, double cold_from) {
+  Settings s = plain_settings();
+  s.gateways = gateways;
+  s.kinds = {{"std-8", 8, 16384}};
+  s.classes.clear();
+  const auto add = [&s](const char* name, Time aim, Time give_up, unsigned threads, double worth) {
+    ClassSettings cls;
+    cls.name = name;
+    cls.aim = aim;
+    cls.give_up = give_up;
+    cls.threads = threads;
+    cls.worth = worth;
+    s.classes.push_back(cls);
+  };
+  add("lookup", 400ms, 2s, 1, 1);
+  add("report", 2s, 20s, 4, 15);
+  add("load", 3s, 25s, 2, 20);
+  s.cold_from = cold_from;
+  s.ramp_time = 15s;
+  s.tip_multiple = 2.5;
+  s.tip_window = 1s;
+  s.tells_cost = true;
+  return s;
+}
+
+// Brokers that share one list and clock, with more demand than the warm engines take.
+class School {
+ public:
+  static constexpr double kWork[] = {0.07, 3.0, 3.8};  // core-seconds of a query, by class
+  struct Sent {
+    Time at{};
+    double work = 0;
+  };
+
+  School(unsigned gateways, double cold_from, const Mix& mix, std::uint64_t seed)
+      : mix_(mix), random_(seed), settings_(school_settings(gateways, cold_from)) {
+    for (unsigned i = 0; i < gateways; ++i) {
+      settings_.me = i;
+      brokers_.push_back(std::make_unique<Drive>(settings_, seed * 1000 + i));
+      brokers_.back()->list({engine(1), engine(2), engine(3)});
+      ends_.emplace_back();
+    }
+  }
+
+  void run(Time time, double rate) {
+    for (const Time end = now_ + time; now_ < end;) step(rate);
+  }
+  void start_cold_engine() {
+    auto entry = engine(kCold);
+    entry.last_start = began_ = now_;
+    for (auto& broker : brokers_) broker->list({entry}, ListKind::delta);
+  }
+
+  // The most that any window held of its budget of N queries, as a share of what chance allows on top.
+  [[nodiscard]] double worst() const {
+    double mean = 0;
+    for (std::size_t c = 0; c < mix_.shares.size(); ++c) mean += mix_.shares[c] * kWork[c];
+    double out = 0;
+    for (std::size_t first = 0; first < sent_.size(); ++first) {
+      double work = 0;
+      for (auto i = first; i < sent_.size() && sent_[i].at < sent_[first].at + settings_.tip_window; ++i)
+        work += sent_[i].work;
+      const double age = std::chrono::duration<double>(sent_[first].at - began_) / settings_.ramp_time;
+      const double warmth = std::min(1.0, settings_.cold_from + (1 - settings_.cold_from) * age);
+      const double window = std::chrono::duration<double>(settings_.tip_window).count();
+      const double n = settings_.tip_multiple * warmth * 0.85 * 8 * window / mean;
+      const double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+      out = std::max(out, work / mean / most);
+    }
+    return out;
+  }
+  [[nodiscard]] double sent_work() const {
+    double out = 0;
+    for (const auto& sent : sent_) out += sent.work;
+    return out;
+  }
+
+ private:
+  struct End {
+    Time at{};
+    RequestId request = 0;
+    AttemptIndex attempt = 0;
+    EngineId engine = 0;
+    ClassIndex cls = 0;
+    Time took{};
+  };
+
+  void step(double rate) {
+    now_ += kStep;
+    for (std::size_t i = 0; i < brokers_.size(); ++i) {
+      auto& broker = *brokers_[i];
+      std::poisson_distribution<int> count(rate * std::chrono::duration<double>(kStep).count() /
+                                           static_cast<double>(brokers_.size()));
+      std::discrete_distribution<int> classes(mix_.shares.begin(), mix_.shares.end());
+      const auto before = broker.sends.size();
+      broker.until(now_);
+      finish(i);
+      for (int n = count(random_); n > 0; --n) {
+        const auto cls = static_cast<ClassIndex>(classes(random_));
+        class_of_[++last_] = cls;
+        broker.ask(last_, cls, settings_.classes[cls].give_up);
+      }
+      for (auto n = before; n < broker.sends.size(); ++n) take(i, broker.sends[n]);
+    }
+  }
+
+  void take(std::size_t broker, const Send& send) {
+    const auto cls = class_of_.at(send.request);
+    if (send.engine == kCold) sent_.push_back({now_, kWork[cls]});
+    const Time took(static_cast<std::int64_t>(1.2e9 * kWork[cls] / settings_.classes[cls].threads));
+    ends_[broker].push_back({now_ + took, send.request, attempts_[send.request]++, send.engine, cls, took});
+  }
+
+  void finish(std::size_t broker) {
+    std::vector<Event> over;
+    std::erase_if(ends_[broker], [&](const End& end) {
+      if (end.at > now_) return false;
+      Outcome o;
+      o.request = end.request;
+      o.attempt = end.attempt;
+      o.engine = end.engine;
+      o.result = Result::served;
+      o.latency = end.took;
+      o.closed = true;
+      o.work = Time(static_cast<std::int64_t>(kWork[end.cls] * 1e9));
+      over.emplace_back(o);
+      return true;
+    });
+    if (!over.empty()) brokers_[broker]->at(now_, over);
+  }
+
+  Mix mix_;
+  std::mt19937_64 random_;
+  Settings settings_;
+  std::vector<std::unique_ptr<Drive>> brokers_;
+  std::vector<std::vector<End>> ends_;
+  std::map<RequestId, ClassIndex> class_of_;
+  std::map<RequestId, AttemptIndex> attempts_;
+  std::vector<Sent> sent_;
+  RequestId last_ = 0;
+  Time now_{100s}, began_{};
+};
+
+const Mix kUsual{"usual", {0.80, 0.14, 0.06}};
+const Mix kHeavy{"heavy", {0.30, 0.40, 0.30}};
+
+class SlowStart : public ::testing::TestWithParam<unsigned> {};
+
+// The requests that the engine is sent in any window of the settings' length, in requests of mean work, stay
+// under N + 2 root N + 2, or N + 3 root N + 3 where N lies under 30.
+TEST_P(SlowStart, StaysWithinItsBudgetInEveryWindow) {
+  int over = 0, plays = 0;
+  double worst = 0, all = 0;
+  for (const double cold_from : {0.33, 0.15}) {
+    for (const auto& mix : {kUsual, kHeavy}) {
+      for (std::uint64_t seed = 1; seed <= (GetParam() > 8 ? 1 : 8); ++seed) {
+        School school(GetParam(), cold_from, mix, seed);
+        const double mean = mix.shares[0] * School::kWork[0] + mix.shares[1] * School::kWork[1] +
+                            mix.shares[2] * School::kWork[2];
+        const double rate = 3 * 8 * 0.85 * 1.3 / mean;  // a third more than three warm engines do
+        school.run(4s, rate);
+        school.start_cold_engine();
+        school.run(15s, rate);
+        ++plays;
+        worst = std::max(worst, school.worst());
+        if (school.worst() > 1) ++over;
+        all += school.sent_work();
+      }
+    }
+  }
+  EXPECT_EQ(over, 0) << "of " << plays << " plays; the worst window held " << worst << " times its most";
+  EXPECT_GT(all, 0) << "it is not kept idle either";
+}
+
+INSTANTIATE_TEST_SUITE_P(AnyNumberOfBrokers, SlowStart, ::testing::Values(1U, 2U, 3U, 5U, 8U, 20U, 60U));
+
+}  // namespace
+}  // namespace heronwell::test
