Wait out what keeps the system from accepting, and close no connection unread for it

Seen: with one accept4() in five failing, connections were closed or reset without an answer, and the loop went round for nothing once the descriptor in reserve could not be opened again. Cause: Listener::on_io took ENFILE for its own descriptors having run out, accepted the connection and closed it unread; a failed open of /dev/null left no reserve for good. Ruled out: ECONNABORTED, EINTR and EPROTO, after which the loop asked again by itself.

The reserve is opened again after each pause. The listener has a file of its own.

Stream::write past its bound keeps no older error (suspected): every other place that sets one ends the stream, which HubTest.APeerThatDoesNotReadIsCutOffAtTheBound holds.

--- a/src/link/hub.hpp
+++ b/src/link/hub.hpp
@@ -16,6 +16,7 @@
 #include "core/events.hpp"
 #include "link/channel.hpp"
 #include "net/lingerer.hpp"
+#include "net/listener.hpp"
 
 namespace bellstair::link {
 
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -19,6 +19,7 @@
 #include "mysql/mapping.hpp"
 #include "mysql/packet.hpp"
 #include "net/lingerer.hpp"
+#include "net/listener.hpp"
 #include "net/stream.hpp"
 
 namespace bellstair::mysql {
--- /dev/null
+++ b/src/net/listener.hpp
@@ -0,0 +1,49 @@
+// Accepts TCP connections on the loop.
+#pragma once
+
+#include <ev++.h>
+
+#include <functional>
+
+#include "net/socket.hpp"
+
+namespace bellstair::net {
+
+// What a failed accept4() means for the connections that wait to be accepted (accept(2), "Errors").
+enum class AcceptError {
+  none_waiting,     // nobody has come
+  this_connection,  // that one has gone, or the call was interrupted: the next may be taken
+  own_limit,        // this process holds all the descriptors that it may
+  system_limit,     // the system is short of descriptors or memory for now: they can wait
+};
+[[nodiscard]] AcceptError classify_accept_error(int error);
+
+// A connection that waits in the system's queue is lost to nobody, so that errors of the system's are waited
+// out. Only where this process itself has no descriptor left, and its owner can free none, what comes is
+// turned away, by way of a descriptor kept in reserve: left waiting, its client would get no word at all.
+class Listener {
+ public:
+  using Accepted = std::function<void(Fd)>;
+  // True: a descriptor has been freed.
+  using FreeDescriptor = std::function<bool()>;
+
+  Listener(ev::loop_ref loop, Fd fd, Accepted accepted, FreeDescriptor free_descriptor = {});
+  Listener(const Listener&) = delete;
+  Listener& operator=(const Listener&) = delete;
+
+ private:
+  void on_io(ev::io& watcher, int events);
+  void on_resume(ev::timer& timer, int events);
+  [[nodiscard]] bool accept_one();  // false: no more in this turn of the loop
+  [[nodiscard]] bool turn_away();   // false: not possible now
+  void pause();
+  void open_reserve();
+
+  ev::io io_;
+  ev::timer resume_;
+  Fd fd_, reserve_;
+  Accepted accepted_;
+  FreeDescriptor free_descriptor_;
+};
+
+}  // namespace bellstair::net
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -1,7 +1,5 @@
 #include "net/stream.hpp"
 
-#include <fcntl.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -163,28 +161,4 @@
   if (unwritten() == 0 && handlers_.drained) handlers_.drained();
 }
 
-Listener::Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted)
-    : io_(loop), fd_(std::move(fd)), accepted_(std::move(accepted)) {
-  reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-  io_.set<Listener, &Listener::on_io>(this);
-  io_.start(fd_.get(), ev::READ);
-}
-
-void Listener::on_io(ev::io&, int) {
-  for (int i = 0; i < 64; ++i) {
-    Fd fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
-    if (!fd && (errno == EMFILE || errno == ENFILE) && reserve_) {
-      reserve_.reset();
-      const bool came = static_cast<bool>(Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)));
-      reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-      if (came) continue;
-      return;
-    }
-    if (!fd) return;
-    const int on = 1;
-    ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    accepted_(std::move(fd));
-  }
-}
-
 }  // namespace bellstair::net
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -50,7 +50,7 @@
 
   [[nodiscard]] bool open() const { return static_cast<bool>(fd_); }
   [[nodiscard]] bool dialling() const { return dialling_; }
-  // errno of what broke it; 0: nothing did, or it was closed.
+  // errno of what broke it; 0: nothing did, it was closed, or its peer does not read what is written.
   [[nodiscard]] int error() const { return error_; }
   [[nodiscard]] std::size_t unwritten() const { return out_.size() - out_at_; }
   [[nodiscard]] std::size_t written() const { return written_; }  // bytes that the system has taken
@@ -82,17 +82,4 @@
   void watch();
 };
 
-// Accepts connections. Out of descriptors it turns away what comes, by way of one kept in reserve: left
-// waiting, the connection would wake the loop again and again.
-class Listener {
- public:
-  Listener(ev::loop_ref loop, Fd fd, std::function<void(Fd)> accepted);
-
- private:
-  void on_io(ev::io& watcher, int events);
-  ev::io io_;
-  Fd fd_, reserve_;
-  std::function<void(Fd)> accepted_;
-};
-
 }  // namespace bellstair::net
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -20,24 +20,41 @@
       handles_(handles),
       green_(std::move(green)),
       post_(std::move(post)),
-      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }),
+      listener_(
+          loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); },
+          [this] { return free_descriptor(); }),
       lingerer_(loop) {}
 
 // A connection without an open request may be closed at any time: first those that never asked for anything.
 // One with a request that has come, and has not been read yet, is not at rest.
 bool Front::make_room() {
   if (connections_.size() < most_connections_) return true;
+  auto* connection = longest_at_rest();
+  if (connection == nullptr) return false;
+  connection->stream.unread() == net::Stream::Unread::end ? close(*connection) : finish(*connection);
+  return true;
+}
+
+Front::Connection* Front::longest_at_rest() {
   for (const auto rank : {Rank::stranger, Rank::idle}) {
     int looks = 0;
     for (auto* connection : ranks_[static_cast<std::size_t>(rank)]) {
       if (++looks > kLooks) break;
-      const auto unread = connection->stream.unread();
-      if (unread == net::Stream::Unread::bytes) continue;
-      unread == net::Stream::Unread::end ? close(*connection) : finish(*connection);
-      return true;
+      if (connection->stream.unread() != net::Stream::Unread::bytes) return connection;
     }
   }
-  return false;
+  return nullptr;
+}
+
+// A lingering close would hold the descriptor on.
+bool Front::free_descriptor() {
+  if (lingerer_.size() > 0) {
+    lingerer_.trim(lingerer_.size() - 1);
+    return true;
+  }
+  auto* connection = longest_at_rest();
+  if (connection != nullptr) close(*connection);
+  return connection != nullptr;
 }
 
 void Front::rank(Connection& connection) {
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -15,6 +15,7 @@
 #include "core/events.hpp"
 #include "core/wheel.hpp"
 #include "net/lingerer.hpp"
+#include "net/listener.hpp"
 #include "net/stream.hpp"
 #include "platform/jsonrpc.hpp"
 
@@ -82,6 +83,9 @@
   void watch(Connection& connection, core::Time until);
   void rank(Connection& connection);
   bool make_room();
+  bool free_descriptor();  // at once; false: none can be
+  // Of those that may be closed to make room; none: all are busy.
+  [[nodiscard]] Connection* longest_at_rest();
   void trim();
 
   ev::loop_ref loop_;
--- a/tests/processes/relay.hpp
+++ b/tests/processes/relay.hpp
@@ -18,6 +18,7 @@
 #include <thread>
 #include <vector>
 
+#include "net/listener.hpp"
 #include "net/socket.hpp"
 #include "net/stream.hpp"
 
