--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -246,6 +246,11 @@
   }
 }
 
+// News of engines, as the change log tells them while the wall clock stands at `unix_now`.
+FleetChange told(std::vector<Member> members, Time unix_now, bool full = false) {
+  return {full, std::move(members), true, unix_now};
+}
+
 // A list told again after a step of the Unix clock made warm engines cold.
 TEST(Reducer, AStartIsReadAgainstTheUnixClockOnce) {
   for (const Time step : {Time(0s), Time(-1h), Time(1h)}) {
@@ -266,6 +271,45 @@
   }
 }
 
+// How many calls an engine gets in the first five seconds after the news that it began 0.2 s ago, from a
+// broker whose wall clock lies off by `at_start`, and by `later` more from then on.
+std::size_t calls_at_newcomer(Time at_start, Time later) {
+  auto s = settings();
+  s.classes.resize(1);
+  s.classes[0].aim = 4s;
+  s.tip_multiple = 2.5;
+  s.tip_window = 1s;
+  s.cold_from = 0.33;
+  s.ramp_time = 15s;
+  Driven d(s);
+  d.pass(3s);
+  auto newcomer = member(8);
+  newcomer.started = d.now - at_start - 200ms;
+  d.at(1ms, told({newcomer, member(7, EngineState::draining)}, d.now + later));
+  std::size_t calls = 0, seen = 0;
+  for (Client client = 1; client <= 500; ++client) {
+    d.ask(client);
+    const auto attempts = d.all<StartAttempt>();
+    for (; seen < attempts.size(); ++seen) {
+      if (attempts[seen].engine == 8) ++calls;
+      d.at(0ms, AttemptReady{attempts[seen].id});
+      d.finish(attempts[seen].id, AttemptEnd::served, "rows");
+    }
+  }
+  return calls;
+}
+
+// After a step of the wall clock a newcomer had no slow start at all, or got nothing for as long as the step.
+TEST(Reducer, AStepOfTheWallClockChangesNothingAboutAnEnginesSlowStart) {
+  const auto usual = calls_at_newcomer(0s, 0s);
+  ASSERT_GT(usual, 5U);
+  ASSERT_LT(usual, 60U);
+  for (const Time step : {Time(-1h), Time(-5s), Time(5s), Time(1h)}) {
+    EXPECT_EQ(calls_at_newcomer(0s, step), usual) << "stepped by " << step.count() / 1'000'000'000 << " s";
+    EXPECT_EQ(calls_at_newcomer(step, 0s), usual) << "off by " << step.count() / 1'000'000'000 << " s";
+  }
+}
+
 // What is read while the program writes its last answers could not be finished: it was sent on, and lost.
 TEST(Reducer, WhatComesOnceTheProgramStopsIsRefusedAndNotBegun) {
   Driven d;
