Blame an engine for a refused connection alone, not for this machine's own errors

Seen: with one connect() in four failing at once (ETIMEDOUT, ENETUNREACH, EADDRNOTAVAIL, ENOBUFS, EAGAIN, ENETDOWN, EHOSTUNREACH, EPERM) two good engines were rested as taking no connections, and statements refused. Cause: Pool::dial counted all but a few of them as the engine's refusal, which the module takes for a process that has ended: it rests the engine and counts it as cold for the length of a start. EINTR was one of them, though the system goes on connecting.

Errors are classified in one place. Only a refusal is the engine's word; want of descriptors, ports or memory is waited out; what the network did not carry is dialled again 10 ms later, until the waiter's dial limit. The three tests of connect() pass, with those of engines and endings.

--- a/src/net/pool.cpp
+++ b/src/net/pool.cpp
@@ -1,7 +1,8 @@
 #include "net/pool.hpp"
 
 #include <algorithm>
-#include <cerrno>
+
+#include "net/dial_error.hpp"
 
 namespace bellstair::net {
 namespace {
@@ -17,10 +18,9 @@
 constexpr std::size_t kMostSlow = 2;  // for each waiter
 // Without a descriptor, dials are tried again after so long, should nothing of this pool's be closed.
 constexpr Time kStarved = 100ms;
-
-bool out_of_descriptors(int error) {
-  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM || error == EADDRNOTAVAIL;
-}
+// After the network did not carry a dial, the next one to that engine is made no sooner. Errors of this
+// machine's own pass in moments, and a waiter has but the dial limit.
+constexpr Time kUnreachable = 10ms;
 }  // namespace
 
 Pool::Pool(ev::loop_ref loop, Limits limits, Greeter greeter)
@@ -111,12 +111,8 @@
 void Pool::dial(std::uint32_t id, Engine& engine) {
   const auto address = parse_address(engine.address);
   auto fd = address ? begin_connect(*address) : Fd();
-  if (!fd && address && out_of_descriptors(errno)) {
-    starved_ = true;  // the engine has no part in that
-    starved_since_ = now_;
-    return;
-  }
   if (!fd) {
+    if (address) return dial_failed(id, engine, errno);
     ++engine.failures;
     return;
   }
@@ -163,14 +159,34 @@
   lost(clean);
 }
 
+// Only a refusal is the engine's own word. For the rest its waiters have dials made again, until their limit.
+void Pool::dial_failed(std::uint32_t id, Engine& engine, int error) {
+  switch (classify_dial_error(error)) {
+    case DialError::refused:
+      ++engine.failures;
+      return;
+    case DialError::reset:
+      if (++engine.resets <= kRedials) return;
+      ++engine.failures;
+      engine.resets = 0;
+      return;
+    case DialError::exhausted:
+      starved_ = true;
+      starved_since_ = now_;
+      return;
+    case DialError::unreachable:
+      engine.next_dial = now_ + kUnreachable;
+      redials_.push_back(id);
+      return;
+  }
+}
+
 void Pool::dialled(Connection& connection, bool well) {
   auto& engine = engines_[connection.engine];
   if (!well) {
-    // A waiter that is left has the next settle() dial again.
-    if (connection.stream.error() != ECONNRESET || ++engine.resets > kRedials) {
-      ++engine.failures;
-      engine.resets = 0;
-    }
+    // One that was ended in good form before it was greeted has no error.
+    const int error = connection.stream.error();
+    dial_failed(connection.engine, engine, error != 0 ? error : ECONNREFUSED);
     return remove(connection);
   }
   connection.ready = true;
@@ -222,6 +238,7 @@
       waiter.taker(nullptr);
       continue;
     }
+    if (now_ < engine.next_dial) return;
     const auto slow = std::min(engine.slow, kMostSlow * engine.waiting.size());
     if (engine.dialling - slow >= engine.waiting.size()) return;
     if (!make_room()) {
@@ -235,6 +252,18 @@
   engine.failures = 0;
 }
 
+// Waiters of engines that could not be reached: whose limit is over is told, for the others a dial is made.
+void Pool::redial() {
+  std::erase_if(redials_, [this](std::uint32_t id) {
+    const auto found = engines_.find(id);
+    if (found == engines_.end()) return true;
+    if (now_ < found->second.next_dial) return false;
+    found->second.overdue = true;
+    stirred_.push_back(id);
+    return true;
+  });
+}
+
 void Pool::settle() {
   for (int turn = 0; turn < 1000 && !stirred_.empty(); ++turn) {
     const auto stirred = std::exchange(stirred_, {});
@@ -259,6 +288,7 @@
     dials_.arm(connection.since + limits_.dial_timeout, serial);
   });
   if (starved_ && now >= starved_since_ + kStarved) feed_starved();
+  redial();
   if (now < swept_ + kSweep) return;
   swept_ = now;
   for (auto& [id, engine] : engines_) {
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -88,10 +88,13 @@
     int resets = 0;            // dials in a row that were reset
     bool overdue = false;      // a dial did not come up, and waiters are to be looked at
     Time heard{};              // the last dial that came up, or byte that came
+    Time next_dial{};          // none is made before
   };
 
   void dial(std::uint32_t id, Engine& engine);
+  void dial_failed(std::uint32_t id, Engine& engine, int error);
   void dialled(Connection& connection, bool well);
+  void redial();
   void lose(Connection& connection, bool clean);
   void give_up_overdue(Engine& engine);
   void hand_out(std::uint32_t id, Engine& engine);
@@ -107,6 +110,7 @@
   std::vector<std::unique_ptr<Connection>> gone_;  // freed once no handler of theirs can be running
   core::TimerWheel<std::uint64_t> dials_{std::chrono::milliseconds(5)};
   std::vector<std::uint32_t> stirred_;  // engines for which something may go on
+  std::vector<std::uint32_t> redials_;  // engines to which a dial is to be made again
   std::uint64_t serial_ = 0, tickets_ = 0;
   bool starved_ = false;  // a dial waits for a descriptor
   Time now_{}, swept_{}, starved_since_{};
--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -64,7 +64,8 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
   set(fd.get(), IPPROTO_TCP, TCP_NODELAY);
-  if (::connect(fd.get(), any(to), sizeof to) != 0 && errno != EINPROGRESS) return {};
+  // An interrupted connect() goes on by itself, as one in progress does.
+  if (::connect(fd.get(), any(to), sizeof to) != 0 && errno != EINPROGRESS && errno != EINTR) return {};
   return fd;
 }
 
