Read engines' starts against each other, not against a wall clock that may be off

Seen: a newcomer that began 0.2 s before the news of it gets 39 calls in five seconds from a core whose wall clock is right, 133 and 250 where it is 5 s or an hour ahead (no slow start), 27 where it is behind. Cause: Reducer::start_of took the age from the wall clock at the news. Ruled out: the module's turns, which stay within the budget for 1 to 60 brokers.

Starts are now read against each other on the steady clock: the least late news so far count as not late, nothing began after its news, nor long before the change log's last answer without it. An engine seems younger by the least delay, never older. Starts known at the program's start have only the wall clock, and are read anew once the first news tell that it was off. All five cases of the test give the same count now.

The test of a start told twice under a stepped clock has no such clock to step any more: it asks the same of starts told an hour early and late.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -120,10 +120,7 @@
     control_ = std::make_unique<ControlClient>(loop, *fronts_.control, config_.name, config_.seed,
                                                [this](const control::Version& version) { offer(version); });
   }
-  for (auto& change : config_.known.changes) {
-    change.unix_now = unix_now();
-    post(std::move(change));
-  }
+  for (auto& change : config_.known.changes) post(std::move(change));
   post(core::Listening{});
 
   tick_.set<Broker, &Broker::on_tick>(this);
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -71,9 +71,10 @@
   bool full = false;
   std::vector<Member> members;
   bool live = false;  // from the change log itself, not from what was known at the start
-  Time unix_now{};    // when it was told; what it tells in Unix time is read against this
 };
-struct FleetQuiet {};  // the change log has nothing newer, or cannot be asked
+struct FleetQuiet {       // the change log has nothing newer, or cannot be asked
+  bool answered = false;  // it answered, and what it told has come before this
+};
 struct Arrived {
   Submission asked;
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -133,7 +133,7 @@
     });
   }
   for (auto& member : change.members) {
-    member.entry.last_start = start_of(member, change.unix_now);
+    member.entry.last_start = start_of(member, change.live);
     listing.engines.push_back(member.entry);
     const auto state = member.entry.state;
     put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
@@ -158,20 +158,36 @@
         abandon({id, static_cast<AttemptIndex>(n)}, attempt, false);
     }
   }
-  if (change.live) on(FleetQuiet{});
+  if (!change.live) return;
+  if (starts_.wall_clock_was_off(now_, heard_)) read_starts_anew();
+  on(FleetQuiet{});
 }
 
-// Read against the Unix clock when it is first told, and kept: after a step of that clock the same start,
-// told again, must not look like another.
-Time Reducer::start_of(const Member& member, Time unix_now) const {
+// Kept once it is read: the same start, told again, must not look like another. What comes with the first
+// answer may be old news, as what was known is.
+Time Reducer::start_of(const Member& member, bool live) {
   if (member.started == Time::zero()) return {};
   const auto known = members_.find(member.entry.engine);
   if (known != members_.end() && known->second.started == member.started)
     return known->second.entry.last_start;
-  return std::max(Time(1), now_ - (unix_now - member.started));
+  return live && heard_ != Time::zero() ? starts_.of_news(member.started, now_, heard_)
+                                        : starts_.of_known(member.started, now_);
 }
 
-void Reducer::on(const FleetQuiet&) {
+void Reducer::read_starts_anew() {
+  heronwell::Listing listing;
+  listing.kind = heronwell::ListKind::delta;
+  for (auto& [id, member] : members_) {
+    if (member.started == Time::zero()) continue;
+    member.entry.last_start = std::max(member.entry.last_start, starts_.of_known(member.started, now_));
+    listing.engines.push_back(member.entry);
+  }
+  put(Log{"the wall clock was off when the program began: starts of engines are read anew"});
+  news_.push_back(std::move(listing));
+}
+
+void Reducer::on(const FleetQuiet& quiet) {
+  if (quiet.answered) heard_ = now_;
   const auto ready = [](const auto& m) { return m.second.entry.state == EngineState::ready; };
   if (std::ranges::any_of(members_, ready)) lifecycle_.fleet_known();
 }
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -11,6 +11,7 @@
 
 #include "core/events.hpp"
 #include "core/lifecycle.hpp"
+#include "core/start_clock.hpp"
 #include "core/wheel.hpp"
 #include "heronwell/gateway.hpp"
 #include "hooks/control.hpp"
@@ -73,7 +74,7 @@
 
   void on(const Listening&);
   void on(FleetChange& change);
-  void on(const FleetQuiet&);
+  void on(const FleetQuiet& quiet);
   void on(Arrived& arrived);
   void on(const Cancelled& cancelled);
   void on(const HalfClosed& half);
@@ -117,7 +118,8 @@
   void withdraw_unsent(RequestId id, Request& request);
   [[nodiscard]] bool may_refuse(const Request& request) const;
   [[nodiscard]] bool may_begin(const Request& request) const;
-  [[nodiscard]] Time start_of(const Member& member, Time unix_now) const;
+  [[nodiscard]] Time start_of(const Member& member, bool live);
+  void read_starts_anew();
   void answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
               std::string shape = {});
   void conclude(AttemptId id, Request& request, heronwell::Result result, AttemptEnded* told);
@@ -149,6 +151,8 @@
   RequestId last_request_ = 0;
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
   bool fleet_told_ = false;
+  StartClock starts_;
+  Time heard_{};  // the change log's last answer; 0: none yet
   Time now_{}, called_{};
   Effects* out_ = nullptr;
 };
--- a/src/platform/changelog.cpp
+++ b/src/platform/changelog.cpp
@@ -89,12 +89,11 @@
   if (answer.status != 200) return lost();
   try {
     auto news = config::parse_changes(answer.body, names_);
-    if (news.changes.empty()) post_(core::FleetQuiet{});
     for (auto& change : news.changes) {
       change.live = true;
-      change.unix_now = std::chrono::system_clock::now().time_since_epoch();
       post_(std::move(change));
     }
+    post_(core::FleetQuiet{true});
     since_ = std::max(since_, news.seq);
     first_ = nonsense_ = false;
     backoff_.succeeded();
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -35,6 +35,7 @@
   explicit Driven(heronwell::Settings s = settings()) : with(std::move(s)) {
     at(0ms, Listening{});
     at(0ms, FleetChange{true, {member(7)}, true});
+    at(0ms, FleetQuiet{true});
     at(0ms, Tick{});
   }
   void at(Time after, Event event) {
@@ -186,7 +187,7 @@
   for (const ClassIndex cls : {ClassIndex{0}, ClassIndex{1}}) {
     for (const bool out : {false, true}) {
       Driven d;
-      d.at(0ms, FleetChange{false, {member(8)}, true, {}});
+      d.at(0ms, FleetChange{false, {member(8)}, true});
       d.ask(1, cls, 20s);
       const auto id = d.all<StartAttempt>().at(0).id;
       if (out) d.at(1ms, AttemptReady{id});
@@ -212,7 +213,7 @@
     auto s = settings();
     s.second_copies = true;
     Driven d(s);
-    d.at(0ms, FleetChange{false, {member(8)}, true, {}});
+    d.at(0ms, FleetChange{false, {member(8)}, true});
     for (Client client = 10; client < 30; ++client) {  // what saves up work for copies
       d.ask(client);
       const auto id = d.all<StartAttempt>().back().id;
@@ -232,7 +233,7 @@
 TEST(Reducer, ARepeatWhoseConnectionComesAfterItsKeysWindowIsNotSent) {
   for (const auto& [wait, sent] : {std::pair<Time, std::size_t>{100ms, 2}, {1900ms, 1}}) {
     Driven d;
-    d.at(0ms, FleetChange{false, {member(8)}, true, {}});
+    d.at(0ms, FleetChange{false, {member(8)}, true});
     d.ask(1, 2, 20s);
     const auto first = d.all<StartAttempt>().at(0).id;
     d.at(1ms, AttemptReady{first});
@@ -246,14 +247,9 @@
   }
 }
 
-// News of engines, as the change log tells them while the wall clock stands at `unix_now`.
-FleetChange told(std::vector<Member> members, Time unix_now, bool full = false) {
-  return {full, std::move(members), true, unix_now};
-}
-
 // A list told again after a step of the Unix clock made warm engines cold.
-TEST(Reducer, AStartIsReadAgainstTheUnixClockOnce) {
-  for (const Time step : {Time(0s), Time(-1h), Time(1h)}) {
+TEST(Reducer, AStartThatIsToldAgainIsTheSameStart) {
+  for (const Time off : {Time(0s), Time(-1h), Time(1h)}) {
     auto s = settings();
     s.gateways = 1000;  // whose turns at a cold engine are rare
     s.tip_multiple = 2.5;
@@ -262,18 +258,19 @@
     s.ramp_time = 10s;
     Driven d(s);
     auto engine = member(7);
-    engine.started = 5000s;
-    d.at(1ms, FleetChange{true, {engine}, true, 5000s});
+    engine.started = d.now + off;
+    d.at(1ms, FleetChange{true, {engine}, true});
     d.pass(11s);
-    d.at(1ms, FleetChange{true, {engine}, true, 5011s + step});
+    d.at(1ms, FleetChange{true, {engine}, true});
     d.ask(1);
     EXPECT_EQ(d.all<StartAttempt>().size(), 1U);
   }
 }
 
 // How many calls an engine gets in the first five seconds after the news that it began 0.2 s ago, from a
-// broker whose wall clock lies off by `at_start`, and by `later` more from then on.
-std::size_t calls_at_newcomer(Time at_start, Time later) {
+// broker whose wall clock lay off by `off` when it began, which is the last that the core hears of that
+// clock.
+std::size_t calls_at_newcomer(Time off) {
   auto s = settings();
   s.classes.resize(1);
   s.classes[0].aim = 4s;
@@ -284,11 +281,12 @@
   Driven d(s);
   d.pass(3s);
   auto newcomer = member(8);
-  newcomer.started = d.now - at_start - 200ms;
-  d.at(1ms, told({newcomer, member(7, EngineState::draining)}, d.now + later));
+  newcomer.started = d.now - off - 200ms;
+  d.at(1ms, FleetChange{false, {newcomer, member(7, EngineState::draining)}, true});
   std::size_t calls = 0, seen = 0;
-  for (Client client = 1; client <= 500; ++client) {
+  for (Client client = 1; client <= 250; ++client) {
     d.ask(client);
+    d.pass(10ms);
     const auto attempts = d.all<StartAttempt>();
     for (; seen < attempts.size(); ++seen) {
       if (attempts[seen].engine == 8) ++calls;
@@ -301,12 +299,55 @@
 
 // After a step of the wall clock a newcomer had no slow start at all, or got nothing for as long as the step.
 TEST(Reducer, AStepOfTheWallClockChangesNothingAboutAnEnginesSlowStart) {
-  const auto usual = calls_at_newcomer(0s, 0s);
+  const auto usual = calls_at_newcomer(0s);
   ASSERT_GT(usual, 5U);
   ASSERT_LT(usual, 60U);
-  for (const Time step : {Time(-1h), Time(-5s), Time(5s), Time(1h)}) {
-    EXPECT_EQ(calls_at_newcomer(0s, step), usual) << "stepped by " << step.count() / 1'000'000'000 << " s";
-    EXPECT_EQ(calls_at_newcomer(step, 0s), usual) << "off by " << step.count() / 1'000'000'000 << " s";
+  for (const Time off : {Time(-1h), Time(-5s), Time(5s), Time(1h)})
+    EXPECT_EQ(calls_at_newcomer(off), usual) << "off by " << off / 1s << " s";
+}
+
+// News that come later than the least late ones tell of an engine that is as much older.
+TEST(StartClock, ReadsStartsAgainstEachOther) {
+  for (const Time off : {Time(0s), Time(-1h), Time(1h)}) {
+    StartClock starts;
+    const Time now = 5000s;
+    const auto age = [&](Time told_after, Time at, Time absent) {
+      return at - starts.of_news(at - told_after - off, at, absent);
+    };
+    EXPECT_EQ(age(1s, now, now - 1s), 0s) << "the first may have come without delay";
+    EXPECT_EQ(age(1500ms, now + 10s, now + 9s), 500ms);
+    EXPECT_EQ(age(400ms, now + 20s, now + 19s), 0s) << "less late than all before";
+    EXPECT_EQ(age(1s, now + 30s, now + 29s), 600ms);
+    EXPECT_EQ(age(8s, now + 40s, now + 32s), 7600ms) << "the change log was down";
+    EXPECT_EQ(age(1h, now + 50s, now + 49s), 0s) << "the other side's clock went back";
+    EXPECT_EQ(age(1h + 1s, now + 60s, now + 59s), 1s) << "and stays there";
+  }
+}
+
+// One that was known at the start looked warm, or as if it were to begin in an hour, until the first news
+// tell that the clock was off.
+TEST(Reducer, StartsKnownBeforeAreReadAnewOnceTheWallClockTurnsOutToHaveBeenOff) {
+  for (const Time off : {Time(-1h), Time(1h)}) {
+    auto s = settings();
+    s.gateways = 100'000;  // whose turns at a cold engine are rare
+    s.tip_multiple = 2.5;
+    s.tip_window = 1s;
+    s.cold_from = 0.4;
+    s.ramp_time = 10s;
+    Driven d(s);
+    auto known = member(8), newcomer = member(9, EngineState::draining);
+    known.started = d.now - off - 1s;
+    d.at(0ms, FleetChange{true, {known}, false});
+    d.pass(1s);
+    newcomer.started = d.now - off;
+    d.at(1ms, FleetChange{false, {newcomer}, true});
+    d.at(0ms, FleetQuiet{true});
+    d.pass(1s);
+    d.ask(1);
+    EXPECT_TRUE(d.all<StartAttempt>().empty()) << "it is cold";
+    d.pass(9s);
+    d.ask(2, 0, 20s);
+    EXPECT_EQ(d.all<StartAttempt>().size(), 1U) << "and warm 10 s after its start";
   }
 }
 
