--- a/tests/faults/clock_test.cpp
+++ b/tests/faults/clock_test.cpp
@@ -24,7 +24,10 @@
 // Far more than any draw of turns lets through, and far less than clients ask for.
 constexpr std::size_t kMostCalls = 60;
 
-class WallClock : public ::testing::TestWithParam<std::chrono::seconds> {};
+class WallClock : public ::testing::TestWithParam<int> {  // seconds that it steps by
+ protected:
+  [[nodiscard]] static std::chrono::seconds step() { return std::chrono::seconds(GetParam()); }
+};
 
 TEST_P(WallClock, DeadlinesAreSpansOfRealTime) {
   Faults faults;
@@ -35,7 +38,7 @@
   const auto from = Clock::now();
   client.ask(1, "lookup", kSelect, {{"limit", 1500}});
   silent.calls.wait([](const Call& c) { return c.method == "POST"; });
-  faults.step_wall_clock(GetParam());
+  faults.step_wall_clock(step());
   EXPECT_TRUE(client.answer().contains("error"));
   EXPECT_GT(Clock::now() - from, 1200ms);
   EXPECT_LT(Clock::now() - from, 1700ms);
@@ -84,17 +87,15 @@
 
 // It had no slow start at all after a step forward, and got nothing for an hour after one back.
 TEST_P(WallClock, ANewcomersSlowStartDoesNotGoByIt) {
-  const auto stepped = calls_at_newcomer(0s, GetParam());
-  const auto off = calls_at_newcomer(GetParam(), 0s);
+  const auto stepped = calls_at_newcomer(0s, step());
+  const auto off = calls_at_newcomer(step(), 0s);
   EXPECT_GT(stepped, 0U);
   EXPECT_LT(stepped, kMostCalls);
   EXPECT_GT(off, 0U);
   EXPECT_LT(off, kMostCalls);
 }
 
-INSTANTIATE_TEST_SUITE_P(Steps, WallClock,
-                         ::testing::Values(std::chrono::seconds(-3600), std::chrono::seconds(-5),
-                                           std::chrono::seconds(5), std::chrono::seconds(3600)));
+INSTANTIATE_TEST_SUITE_P(Steps, WallClock, ::testing::Values(-3600, -5, 5, 3600));
 
 }  // namespace
 }  // namespace bellstair::test
--- a/tests/net/endings_test.cpp
+++ b/tests/net/endings_test.cpp
@@ -60,6 +60,27 @@
   }
 };
 
+// What it had open went on waiting for its turn, and to an engine, though its cancel was dropped with all
+// else that it still sent.
+TEST(Endings, AClientThatIsShownTheDoorHasNothingBegunForItAnyMore) {
+  Holding h;
+  Client behind(h.broker.address);
+  behind.ask(2, "load", kSelect, of(2, kKey));  // of the same key: it waits for its turn
+  EXPECT_TRUE(behind.green());
+  std::string useless;
+  for (int n = 0; n < 100; ++n) useless += "no JSON\n";
+  behind.socket.send(useless);
+  behind.socket.send(R"({"jsonrpc":"2.0","method":"cancel","params":{"id":2}})"
+                     "\n");
+  std::this_thread::sleep_for(300ms);
+  h.hold = false;
+  EXPECT_EQ(body(h.client.answer()), "x\ty\tz\n");
+  Client next(h.broker.address);
+  next.ask(3, "load", kSelect, of(3, kKey));
+  EXPECT_EQ(body(next.answer()), "x\ty\tz\n");
+  EXPECT_EQ(h.engine.calls.count(posted(ticket(2))), 0U);
+}
+
 // After a client's FIN what it had asked for went on to engines for as long as it took, for nobody.
 TEST(Endings, AfterAHalfCloseWhatRunsIsAnsweredAndWhatDoesNotIsRefusedAndNeverSent) {
   Holding h;
--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -380,11 +380,15 @@
       ::_exit(127);
     }
     ::close(out[1]);
+    out_ = out[0];
     reader_ = std::thread([this, fd = out[0]] {
       const net::Fd owner(fd);
       std::string rest;
       char buffer[4096];
-      for (ssize_t got = 0; (got = ::read(fd, buffer, sizeof buffer)) > 0;) {
+      while (true) {
+        while (unread_) std::this_thread::sleep_for(2ms);
+        const auto got = ::read(fd, buffer, sizeof buffer);
+        if (got <= 0) return;
         rest.append(buffer, static_cast<std::size_t>(got));
         for (std::size_t end = 0; (end = rest.find('\n')) != std::string::npos; rest.erase(0, end + 1))
           lines_.add(rest.substr(0, end));
@@ -419,15 +423,23 @@
     if (pid_ <= 0) throw std::runtime_error("it has been waited for");
     ::waitpid(pid_, &status, 0);
     pid_ = -1;
+    unread_ = false;
     reader_.join();
     return status;
   }
+  // Nobody reads what it says any more, of which the system holds a page at the most, until its end.
+  void stop_reading() {
+    ::fcntl(out_, F_SETPIPE_SZ, 4096);
+    unread_ = true;
+  }
   std::size_t lines() { return lines_.all().size(); }
   std::vector<std::string> all_lines() { return lines_.all(); }
   [[nodiscard]] pid_t pid() const { return pid_; }  // -1 after its end
 
  private:
   pid_t pid_ = -1;
+  int out_ = -1;  // owned by the reader
+  std::atomic<bool> unread_ = false;
   Log<std::string> lines_;
   std::thread reader_;
 };
--- a/tests/processes/fleet.hpp
+++ b/tests/processes/fleet.hpp
@@ -20,6 +20,7 @@
   bool last = false;        // brokers keep the version in force in a file
   std::string more;         // of each broker's operator's file
   std::string classes = R"(["lookup", "load", "once"])";
+  std::map<std::string, std::string> environment;  // of the brokers
 };
 
 class Fleet {
@@ -106,9 +107,11 @@
                         {"settings", settings()}};
       it.config = write(it.name + ".json", config.dump());
     }
+    auto environment = options_.environment;
+    environment.try_emplace("TEST_SECRET", "secret");
     it.program = std::make_unique<Program>(
         std::vector<std::string>{"serve", "--config", it.config, "--fronts", path(it.name + ".hcl")},
-        std::map<std::string, std::string>{{"TEST_SECRET", "secret"}});
+        environment);
   }
   void await_up(std::size_t broker) {
     auto& it = brokers_.at(broker);
