Keep the last version in force on the disk, and try again while the disk refuses it

Seen: the file was renamed with nothing synced, so that a loss of power could leave its name on an empty file while the older one, which was whole, was gone; and a version that met a full disk once was never written, so that a restart without a node went back to the one before. Cause: LastVersion::write had to spare the loop a sync, and applied() tried once.

The file and its writer have a module of their own. A thread writes, syncs the file, renames it and syncs its folder; failures remove the half-written file and are tried again after 0.5 to 30 s; the end of the program writes what is left. The thread is net::Worker, taken out of hooks::Runner, which uses it too. A broker reports a version in force before it is kept now, since the loop does not wait for it: three tests of the client wait for the file by name where they took it for written once the report came.

--- a/src/app/control_client.hpp
+++ b/src/app/control_client.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "config/control.hpp"
@@ -29,8 +30,12 @@
   void tick(core::Time now);  // with each tick of the broker (5 ms)
   void settle();              // once in each turn of the loop
   void stop();                // hangs up; nothing is dialled any more
-  // What became of a version. No problem: it is in force, and is kept in the file.
+  // What became of a version. No problem: it is in force, and is kept in the file as soon as
+  // the disk takes it.
   void applied(const control::Version& version, const std::string& problem);
+  [[nodiscard]] const control::Place& kept() const;  // in the file, on the disk
+  // Could not be written to the file; it is tried again.
+  [[nodiscard]] const std::optional<control::Place>& unkept() const;
 
  private:
   struct Impl;
--- a/src/hooks/runner.cpp
+++ b/src/hooks/runner.cpp
@@ -1,24 +1,11 @@
 #include "hooks/runner.hpp"
 
-#include <csignal>
 #include <utility>
 
 namespace bellstair::hooks {
 
 Runner::Runner(ev::loop_ref loop, Words words, Post post)
-    : words_(std::make_shared<const Words>(std::move(words))), post_(std::move(post)), done_watch_(loop) {
-  done_watch_.set<Runner, &Runner::on_done>(this);
-}
-
-Runner::~Runner() {
-  if (!thread_.joinable()) return;
-  {
-    const std::lock_guard lock(mutex_);
-    ending_ = true;
-  }
-  more_.notify_one();
-  thread_.join();
-}
+    : words_(std::make_shared<const Words>(std::move(words))), post_(std::move(post)), worker_(loop) {}
 
 void Runner::adopt(Loaded& loaded) {
   for (std::size_t i = 0; i < loaded.machines.size(); ++i) {
@@ -36,51 +23,6 @@
   for (auto& [id, held] : held_) held.machine->know(words_);
 }
 
-void Runner::later(std::function<std::function<void()>()> work) {
-  if (!thread_.joinable()) {
-    done_watch_.start();
-    // Signals are the loop's.
-    sigset_t all, before;
-    sigfillset(&all);
-    pthread_sigmask(SIG_BLOCK, &all, &before);
-    thread_ = std::thread([this] { this->work(); });
-    pthread_sigmask(SIG_SETMASK, &before, nullptr);
-  }
-  {
-    const std::lock_guard lock(mutex_);
-    asked_.push_back(std::move(work));
-  }
-  more_.notify_one();
-}
-
-void Runner::work() {
-  while (true) {
-    std::function<std::function<void()>()> next;
-    {
-      std::unique_lock lock(mutex_);
-      more_.wait(lock, [this] { return ending_ || !asked_.empty(); });
-      if (ending_) return;
-      next = std::move(asked_.front());
-      asked_.pop_front();
-    }
-    auto then = next();
-    {
-      const std::lock_guard lock(mutex_);
-      done_.push_back(std::move(then));
-    }
-    done_watch_.send();
-  }
-}
-
-void Runner::on_done(ev::async&, int) {
-  std::deque<std::function<void()>> done;
-  {
-    const std::lock_guard lock(mutex_);
-    done.swap(done_);
-  }
-  for (const auto& then : done) then();
-}
-
 void Runner::run(Run& run) {
   const auto found = held_.find(run.hook);
   if (found == held_.end()) return;
--- a/tests/control_client_test.cpp
+++ b/tests/control_client_test.cpp
@@ -109,6 +109,7 @@
   newest = version(1, "changelog = \"127.0.0.1:1\"\n");
   start();
   until([&] { return reports.size() == 1; }, "a report");
+  until([&] { return client->kept() == newest.place; }, "its file");
   ASSERT_EQ(offered.size(), 1U);
   EXPECT_EQ(offered[0], newest);
   EXPECT_EQ(reports[0].in_force, newest.place);
@@ -138,6 +139,7 @@
   newest = version(1, "changelog = \"127.0.0.1:1\"\n");
   start();
   until([&] { return reports.size() == 1; }, "a report");
+  until([&] { return client->kept() == newest.place; }, "its file");
   client->stop();
   const auto whole = content();
   std::vector<std::string> damaged{
@@ -178,6 +180,7 @@
   testing::internal::CaptureStderr();
   start("tunis", (dir / "no" / "such" / "last").string());
   until([&] { return reports.size() == 1; }, "a report");
+  until([&] { return client->unkept() == newest.place; }, "word that it is not kept");
   const auto said = testing::internal::GetCapturedStderr();
   EXPECT_NE(said.find("control: version 1.1 is not kept for a restart: "), std::string::npos) << said;
   EXPECT_NE(said.find("control: version 1.1 in force"), std::string::npos) << said;
@@ -190,6 +193,7 @@
   std::ofstream(last + ".new") << "half";
   start();
   until([&] { return reports.size() == 1; }, "a report");
+  until([&] { return client->kept() == newest.place; }, "its file");
   EXPECT_FALSE(fs::exists(last + ".new"));
   start();
   client->settle();
