Keep light queries at a cold engine within even shares, and ration turns by what a window bears

Seen: in a rush of light queries (99 in 100 lookups, 2 to 4 times what the warm engines do) a cold engine got up to 3.95 times what the rule on slow start allows in a second from one broker, 1.91 from two, 1.29 from three, 1.25 from five. Cause: a turn was as large as the share of a second or the heaviest query, and turns came at random moments: two in one window are 1.6 times the budget, of which chance explains a quarter when N is large. Ruled out: the estimates of work (told by the answers here), and 20 brokers and more, whose turns no rush used up.

A query that its broker's even share holds now goes while the window's sum stays within that share (0.4 of the budget over all brokers, whatever they do at once). Turns remain for heavier ones, a window apart at a broker, with the other half of the rate, and fewer where a window bears less than six of them beside the shares.

A clock off by less than 2 s and a poll makes an engine 0.2 of a start older, which the budget bears (0.8 of it is used).

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -1,5 +1,6 @@
 // All decisions. The interface is include/heronwell/gateway.hpp; what is remembered, src/state.hpp.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <random>
 #include <ranges>
@@ -114,12 +115,18 @@
 constexpr double kCopiesSaved = 10;  // copies' worth of work that may be saved up, of the heaviest class
 
 // Cold starts.
-constexpr double kTurnPart = 0.8;       // of what tips it over, for turns of all gateways together
-constexpr double kColdLevel = 0.5;      // of the fleet's level, that turns are taken to bring an engine to
-constexpr Time kTurn = 1s;              // how long a turn can be used
+constexpr double kSentPart = 0.8;   // of what tips it over, from all gateways together;
+constexpr double kEvenPart = 0.4;   // half of it as even shares, where these hold a query
+constexpr double kColdLevel = 0.5;  // of the fleet's level, that turns are taken to bring an engine to
+constexpr Time kTurn = 1s;          // how long a turn can be used
+// Turns a second of all gateways together, by how many of them a window bears at once: with more, chance
+// alone would have too many fall into one. Where it bears more than this lists, their mean work is what
+// counts.
+constexpr std::array<double, 6> kMostTurns = {0, 0.02, 0.15, 0.5, 0.9, 1.4};
 constexpr double kTurnStep = 0.1;       // s; time without a call of its own brings a gateway no turns
 constexpr double kFullCapacity = 0.85;  // core-seconds a second for each core: what "capacity" stands for
 constexpr double kFirstWork = 0.5;      // of aim x threads: a class's work before any answer
+constexpr double kMixStep = 0.02;       // weight of one query in the mean work of those that come
 
 }  // namespace
 
@@ -136,6 +143,7 @@
       classes_[c].u = set.threads;
       widest_ = std::max(widest_, set.threads);
       mean_threads_ += set.threads / static_cast<double>(s_.classes.size());
+      mean_work_ += classes_[c].work / static_cast<double>(s_.classes.size());
       readers_wait_ = readers_wait_ || set.waits_for_group;
     }
     for (const auto field : s_.load_fields)
@@ -282,6 +290,7 @@
     if (asked.cls >= classes_.size()) return finish(request);
     if (in_order(request)) turns_.join(asked.order_key, asked.request);
     request.size = size_of(asked);
+    mean_work_ += kMixStep * (classes_[asked.cls].work - mean_work_);
     copy_work_ = std::min(copy_work_ + kCopyPart * classes_[asked.cls].work, kCopiesSaved * heaviest());
     if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
     if (too_late(asked)) return finish(request);
@@ -433,22 +442,51 @@
     return static_cast<double>(further_.size() + 1) <= most;
   }
 
-  // An even share of what tips a cold engine over may hold no query, so gateways have turns at moments drawn
-  // from their seeds, all together under a part of the whole; none are saved up.
-  bool cold_room(const Request& request, const Engine& engine) const {
+  // Core-seconds that tip a cold engine over when it is sent them within the window.
+  double tips_over(const Engine& engine) const {
+    return s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity * cores(engine) *
+           secs(s_.tip_window);
+  }
+  double even_share(const Engine& engine) const { return kEvenPart * tips_over(engine) / s_.gateways; }
+
+  // A query that its gateway's even share of the budget holds goes while the window's sum stays within that
+  // share: whatever all gateways do at once, their light queries stay under a part of the whole. An even
+  // share may hold no query. For those gateways have turns at moments drawn from their seeds, all together
+  // under a part of the whole, a window apart at the least; none are saved up.
+  bool cold_room(const Request& request, Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
-    return now_ < engine.turn_until && cold_work(request) <= engine.turn_left;
+    const double work = cold_work(request), share = even_share(engine);
+    if (work <= share) return engine.sent.within(now_, s_.tip_window) + work <= share;
+    return now_ < engine.turn_until && work <= engine.turn_left;
+  }
+  void charge(Engine& engine, double work) {
+    if (!cold(engine)) return;
+    work <= even_share(engine) ? engine.sent.add(now_, work) : void(engine.turn_left -= work);
   }
 
   double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
+  // How many turns of so much work a window bears at once, beside even shares of this part: a budget of N
+  // queries of mean work may be passed by twice the root of N and 2, or where N lies under 30 by three times
+  // it and 3 (the operators' rule on slow start).
+  std::size_t turns_borne(const Engine& engine, double work, double even_part) const {
+    const double n = tips_over(engine) / mean_work_;
+    const double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
+    return static_cast<std::size_t>(
+        std::max(0.0, (most * mean_work_ - even_part * tips_over(engine)) / work));
+  }
+  double lightest() const { return std::ranges::min_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
     sum_cores();
     for (auto* engine : ready_) {
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
-      const double share = kTurnPart * s_.tip_multiple * warmth(*engine, s_.tip_window) * kFullCapacity *
-                           cores(*engine) / s_.gateways;  // core-seconds a second
+      const double part = lightest() <= even_share(*engine) ? kSentPart - kEvenPart : kSentPart;
+      double share = part * tips_over(*engine) / secs(s_.tip_window) / s_.gateways;  // a second
       const double work = std::max(heaviest(), share * secs(kTurn));
-      if (drawn() >= std::min(passed, kTurnStep) * share / work) continue;
+      const auto borne = turns_borne(*engine, work, kSentPart - part);
+      if (borne < kMostTurns.size()) share = std::min(share, kMostTurns[borne] * work / s_.gateways);
+      if (drawn() >= std::min(passed, kTurnStep) * share / work || now_ < engine->turn_from + s_.tip_window)
+        continue;
+      engine->turn_from = now_;
       engine->turn_until = now_ + kTurn;
       engine->turn_left = work;
       invited_.push_back(engine);
@@ -481,7 +519,7 @@
     if (!request.attempts.empty()) further_.push_back(now_);
     if (s_.grants || s_.priorities) put(Terms{request.asked.request, grant(request), priority(request)});
     put(Send{request.asked.request, engine.entry.engine, request.deadline - kAnswerEarly});
-    engine.turn_left -= cold_work(request);
+    charge(engine, cold_work(request));
     if (engine.out.empty()) engine.heard = now_;
     engine.out.insert({request.asked.request, static_cast<AttemptIndex>(request.attempts.size())});
     if (set.holds_group) engine.held.insert(request.asked.data_group);
@@ -1133,6 +1171,7 @@
   double untold_ = 0, untold_time_ = 0;  // thread-seconds run since the last message, and s
   double level_ = -1, told_level_ = -1;  // threads a core, by gateways and by reports; -1: none
   double mean_threads_ = 0;              // a query, over the classes
+  double mean_work_ = 0;                 // core-seconds of a query, over those that came of late
   double own_threads_ = 0, own_lately_ = 0, own_then_ = 0;  // over 5 s; 1.5 s; at the last message
   double scatter_ = 1;                                      // of reports, see kScatter
   double fleet_errors_ = 0;                                 // share of all engines' outcomes of late
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -159,7 +159,7 @@
     }
   }
   if (!change.live) return;
-  if (starts_.wall_clock_was_off(now_, heard_)) read_starts_anew();
+  if (starts_.take_was_off()) read_starts_anew();
   on(FleetQuiet{});
 }
 
@@ -182,7 +182,7 @@
     member.entry.last_start = std::max(member.entry.last_start, starts_.of_known(member.started, now_));
     listing.engines.push_back(member.entry);
   }
-  put(Log{"the wall clock was off when the program began: starts of engines are read anew"});
+  put(Log{"a wall clock is off: starts of engines are read anew"});
   news_.push_back(std::move(listing));
 }
 
--- a/src/core/start_clock.hpp
+++ b/src/core/start_clock.hpp
@@ -2,14 +2,15 @@
 //
 // Slow start goes by an engine's age, and the change log tells a start as a moment of Unix time, by the clock
 // of another machine. Either clock may be off or step. What holds without them: an engine has not begun after
-// the news of it came; and it began later than a little before the change log's last answer without it. So
-// starts are read against each other: the news with the least delay so far are taken to have had none, which
-// makes an engine younger than it is, never older, as long as the other side's clock does not step back.
+// the news of it came; and it began later than a little before the change log's last answer without it. The
+// wall clock as it stood when the program began is believed as long as starts read by it lie between the two.
+// News that do not tell how far it is off: they are taken to have come without delay, which makes an engine
+// younger than it is, and starts are read against each other from then on.
 #pragma once
 
 #include <algorithm>
 #include <chrono>
-#include <optional>
+#include <utility>
 
 namespace bellstair::core {
 
@@ -17,41 +18,31 @@
 
 class StartClock {
  public:
-  // How late an event may enter the change log. A clock that steps back by less than this is not noticed.
+  // How late an event may enter the change log. A clock that is off by less is not noticed.
   static constexpr Time kMostDelay = std::chrono::seconds(2);
 
-  // Of an engine that was known when the program began: there is only the wall clock, on which the core's
-  // clock began.
+  // Of an engine that was known when the program began: nothing tells when it was not there yet.
   [[nodiscard]] Time of_known(Time started_unix, Time now) const {
-    return std::clamp(started_unix + offset_.value_or(Time::zero()), Time(1), now);
+    return std::clamp(started_unix + offset_, Time(1), now);
   }
 
   // Of an engine that news tell of. `absent`: the change log had not told of it by then.
   [[nodiscard]] Time of_news(Time started_unix, Time now, Time absent) {
-    const Time offset = now - started_unix;
+    const Time age = now - (started_unix + offset_);
     const Time most_age = now - absent + kMostDelay;
-    const bool too_old = offset_ && offset - *offset_ > most_age;
-    if (!offset_ || too_old) {
-      offset_ = offset;
-    } else {
-      offset_ = std::min(*offset_, offset);
+    if (age < Time::zero() || age > most_age) {
+      offset_ = now - started_unix;
+      was_off_ = true;
     }
-    return std::max(Time(1), started_unix + *offset_);
+    return std::max(Time(1), started_unix + offset_);
   }
 
-  // True if the wall clock, on which the core's clock began, was so far off then that starts known before
-  // have to be read anew: of_known() goes by the news from then on. Said once.
-  [[nodiscard]] bool wall_clock_was_off(Time now, Time absent) {
-    if (told_ || !offset_) return false;
-    const Time most_age = now - absent + kMostDelay;
-    const bool off = *offset_ < Time::zero() || *offset_ > most_age;
-    told_ = off;
-    return off;
-  }
+  // True once after news have shown a clock to be off: starts known before are to be read anew.
+  [[nodiscard]] bool take_was_off() { return std::exchange(was_off_, false); }
 
  private:
-  std::optional<Time> offset_;  // from a start as told to the core's clock, by news
-  bool told_ = false;
+  Time offset_{};  // from a start as told to the core's clock, which began at the wall clock's Unix time
+  bool was_off_ = false;
 };
 
 }  // namespace bellstair::core
