Decide in one guard what may be taken, sent, sent again and refused, and count what it withholds

The checks on a send stood in the reducer (engine's state, window) and in the module (effect, window, group, second copies, order), and each looked at a part. core::Guard is asked by the reducer when an attempt begins and again where its first byte leaves, for every request that comes, for every refusal the module asks for, and by the platform's front before it closes a connection to make room. What breaks a rule though the module asked for it, a second or late answer, and an exit with a request unanswered are counted as violations and logged.

--- a/include/heronwell/gateway.hpp
+++ b/include/heronwell/gateway.hpp
@@ -187,12 +187,27 @@
   RequestId request = 0;
   AttemptIndex attempt = 0;
 };
+// Why a request ends without having been served.
+enum class Reason : std::uint8_t {
+  unknown_class,
+  over_share,          // its tenant has used up its share, and others wait
+  no_time,             // an answer takes longer than its client waits
+  too_big,             // for the crowd that there is
+  overdue_on_arrival,  // the gateway had no turn while it waited
+  deadline,
+  held_too_long,    // an answer would come after its aim
+  no_attempt_left,  // by the rules on repeats, their number, or the engines there are
+  at_fault,         // two engines that otherwise do well have said no to it
+};
+
 struct Refuse {  // a retry does no harm
   RequestId request = 0;
   Time pause{};
+  Reason reason = Reason::deadline;
 };
 struct Fail {  // no promise about the effect
   RequestId request = 0;
+  Reason reason = Reason::deadline;
 };
 struct Terms {  // for the request's further sends; the priority also for what is out
   RequestId request = 0;
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -17,6 +17,8 @@
 
 double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
 
+constexpr core::Time kCountersPace = 60s;  // between lines with the counters, where they have changed
+
 // Clients hold a third of the descriptors at the most; what is left over is for listeners, files and the
 // like.
 constexpr std::size_t kSpare = 48;
@@ -95,7 +97,8 @@
       check_(loop),
       term_(loop),
       interrupt_(loop),
-      hangup_(loop) {
+      hangup_(loop),
+      counters_asked_(loop) {
   const auto share = client_share(config_.sockets);
   front_ = std::make_unique<platform::Front>(
       loop, listen(config_.listen, "listen"), config_.names, fronts_.mysql ? share / 2 : share, handles_,
@@ -131,6 +134,8 @@
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
+  counters_asked_.set<Broker, &Broker::on_counters_asked>(this);
+  reducer_.tell_all(log::enabled(log::Level::debug));
 }
 
 void Broker::run() {
@@ -138,9 +143,10 @@
   term_.start(SIGTERM);
   interrupt_.start(SIGINT);
   hangup_.start(SIGHUP);
+  counters_asked_.start(SIGUSR1);
   sigset_t heeded;
   sigemptyset(&heeded);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&heeded, signal);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&heeded, signal);
   sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
@@ -160,6 +166,10 @@
   if (directory_) directory_->tick(now);
   changelog_.tick(now);
   if (control_) control_->tick(now);
+  if (now >= next_counters_) {
+    next_counters_ = now + kCountersPace;
+    if (reducer_.counters() != counters_logged_) log_counters();
+  }
   post(core::Tick{unwritten()});
 }
 
@@ -180,6 +190,13 @@
 
 void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
 
+void Broker::on_counters_asked(ev::sig&, int) { log_counters(); }
+
+void Broker::log_counters() {
+  counters_logged_ = reducer_.counters();
+  run(core::Log{counters_logged_.text() + " log_lines_dropped=" + std::to_string(log::dropped())});
+}
+
 void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
 
 // Before the loop sleeps: all that has happened in this turn of it.
@@ -311,6 +328,7 @@
 }
 
 void Broker::run(const core::Exit&) {
+  log_counters();
   if (longest_turn_ != core::Time::zero()) {
     const auto ms = [](core::Time time) { return std::to_string(seconds(time) * 1e3); };
     run(core::Log{"loop: longest turn " + ms(longest_turn_) + " ms, most of hooks in one " +
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -45,6 +45,8 @@
   void on_prepare(ev::prepare& prepare, int events);
   void on_signal(ev::sig& signal, int events);
   void on_hangup(ev::sig& signal, int events);
+  void on_counters_asked(ev::sig& signal, int events);
+  void log_counters();
   void on_hooks(ev::timer& timer, int events);
   void on_check(ev::check& check, int events);
   void pump();
@@ -103,7 +105,9 @@
   // only.
   ev::check check_;
   core::Time turn_begun_{}, turn_hooks_{}, longest_turn_{}, longest_hooks_{};
-  ev::sig term_, interrupt_, hangup_;
+  ev::sig term_, interrupt_, hangup_, counters_asked_;
+  core::Counters counters_logged_;
+  core::Time next_counters_{};
 };
 
 }  // namespace bellstair::app
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -7,6 +7,7 @@
 #include <tuple>
 
 #include "heronwell/gateway.hpp"
+#include "rules.hpp"
 #include "state.hpp"
 
 namespace heronwell {
@@ -287,14 +288,16 @@
     request.asked = asked;
     request.deadline = now_ + asked.time_left;
     deadlines_.insert({request.deadline - kAnswerEarly, asked.request});
-    if (asked.cls >= classes_.size()) return finish(request);
+    if (asked.cls >= classes_.size()) return finish(request, Reason::unknown_class);
     if (in_order(request)) turns_.join(asked.order_key, asked.request);
     request.size = size_of(asked);
     mean_work_ += kMixStep * (classes_[asked.cls].work - mean_work_);
     copy_work_ = std::min(copy_work_ + kCopyPart * classes_[asked.cls].work, kCopiesSaved * heaviest());
-    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded())) return finish(request);
-    if (too_late(asked)) return finish(request);
-    if (too_big(request) || foretold(request) > secs(asked.time_left)) return finish(request);
+    if (over_share(asked) && (!classes_[asked.cls].queue.empty() || crowded()))
+      return finish(request, Reason::over_share);
+    if (too_late(asked)) return finish(request, Reason::overdue_on_arrival);
+    if (too_big(request)) return finish(request, Reason::too_big);
+    if (foretold(request) > secs(asked.time_left)) return finish(request, Reason::no_time);
     hold(request, false);
   }
 
@@ -352,11 +355,11 @@
     return found == requests_.end() ? nullptr : &found->second;
   }
 
-  void finish(Request& request) {
+  void finish(Request& request, Reason reason) {
     if (!request.open) return;
     const auto id = request.asked.request;
     const Time pause = s_.retry_after ? s_.max_retry_after : Time::zero();
-    may_refuse(request) ? put(Refuse{id, pause}) : put(Fail{id});
+    may_refuse(request) ? put(Refuse{id, pause, reason}) : put(Fail{id, reason});
     close(request);
   }
 
@@ -389,9 +392,8 @@
 
   // ---- the rules: every send passes may_send(), every refusal may_refuse() --------------------------------
   bool may_refuse(const Request& request) const {
-    if (request.asked.cls >= classes_.size() || set(request).effect == Effect::safe) return true;
-    if (set(request).effect == Effect::keyed && set(request).group == RepeatGroup::all) return true;
-    return std::ranges::all_of(request.attempts, &Attempt::proven_unrun);
+    return request.asked.cls >= classes_.size() ||
+           refusal_allowed(set(request), std::ranges::all_of(request.attempts, &Attempt::proven_unrun));
   }
 
   bool may_send(const Request& request, Engine& engine) {
@@ -414,17 +416,10 @@
   }
 
   bool repeat_allowed(const Request& request, const Engine& engine) const {
-    if (set(request).effect == Effect::safe) return true;
-    for (const auto& attempt : request.attempts) {
-      if (attempt.proven_unrun()) continue;
-      if (set(request).effect == Effect::unsafe) return false;
-      const auto group = set(request).group;
-      return now_ + kTick < attempt.sent + set(request).window &&
-             (group == RepeatGroup::all ||
-              (group == RepeatGroup::zone && attempt.zone == engine.entry.zone) ||
-              (group == RepeatGroup::cell && attempt.cell == engine.entry.cell));
-    }
-    return true;
+    return std::ranges::all_of(request.attempts, [&](const Attempt& attempt) {
+      const EarlierAttempt earlier{attempt.sent, attempt.zone, attempt.cell, attempt.proven_unrun()};
+      return heronwell::repeat_allowed(set(request), earlier, engine.entry, now_, kTick);
+    });
   }
 
   bool in_turn(const Request& request) const {
@@ -564,8 +559,9 @@
     const auto may = [&](const Engine* e) { return placed(request, *e) && repeat_allowed(request, *e); };
     const bool soon = s_.second_copies || request.over_by <= now_ + most_hold(request);
     if (!std::ranges::any_of(ready_, may) || !soon || request.attempts.size() >= s_.max_attempts ||
-        !within_retry_budget() || at_fault(request))
-      return finish(request);
+        !within_retry_budget())
+      return finish(request, Reason::no_attempt_left);
+    if (at_fault(request)) return finish(request, Reason::at_fault);
     hold(request, true);
   }
 
@@ -1081,7 +1077,7 @@
     own_threads_ += std::min(1.0, passed / kOwnMemory) * (running() - own_threads_);
     own_lately_ += std::min(1.0, passed / kPeerMemory) * (running() - own_lately_);
     while (!deadlines_.empty() && deadlines_.begin()->first <= now_)
-      finish(requests_.at(deadlines_.begin()->second));
+      finish(requests_.at(deadlines_.begin()->second), Reason::deadline);
     drop_overdue();
     for (const auto id : std::vector(busy_.begin(), busy_.end())) watch(engines_.at(id));
     if (!few_ && !s_.load_in_answers)  // these bring reports, too
@@ -1116,7 +1112,8 @@
   void drop_overdue() {
     for (auto& cls : classes_)
       for (const auto id : std::vector(cls.queue.begin(), cls.queue.end()))
-        if (auto& request = requests_.at(id); now_ - request.queued > most_hold(request)) finish(request);
+        if (auto& request = requests_.at(id); now_ - request.queued > most_hold(request))
+          finish(request, Reason::held_too_long);
   }
 
   double share_rate(std::size_t t) const {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <sstream>
 #include <stdexcept>
 #include <utility>
 
@@ -15,6 +16,9 @@
 constexpr Time kLastCall = 15ms;
 // An answer this close to the deadline is told as timed out, to the fronts that make a difference.
 constexpr Time kTimedOut = 60ms;
+// After its deadline an answer is late by the protocol, whose time limits have this slack.
+constexpr Time kLateAnswer = 50ms;
+constexpr Time kSweep = 1s;  // between looks for keys that rest no more
 // Lines of the log about tagged requests in a second.
 constexpr unsigned kMostTagged = 50;
 
@@ -195,15 +199,22 @@
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
   const auto bytes = weight(asked);
-  // One that is read while the program ends is not begun any more: it could not be finished.
-  if ((settings_.max_open != 0 && owed_ >= settings_.max_open) || held_bytes_ + bytes > most_bytes_ ||
-      lifecycle_.phase() >= Phase::stopping) {
-    return put(Answer{asked.client, AnswerKind::refused, settings_.max_retry_after, {}, {}});
-  }
-  // Engines know a query by its ticket: another under the same would get the first one's answer.
-  if (!asked.ticket.empty() && !tickets_.insert(asked.ticket).second)
-    return put(Answer{asked.client, AnswerKind::failed, {}, {}, {}});
+  const auto verdict = guard_.may_take({lifecycle_.phase(), owed_, held_bytes_ + bytes <= most_bytes_,
+                                        !asked.ticket.empty() && tickets_.contains(asked.ticket)});
+  if (verdict != Verdict::allowed) {
+    ++counters_.turned_down[static_cast<std::size_t>(verdict)];
+    trace(last_request_, "ticket ", asked.ticket, " is turned down: ", name(verdict));
+    const bool again = verdict != Verdict::ticket_in_use;
+    return put(Answer{asked.client,
+                      again ? AnswerKind::refused : AnswerKind::failed,
+                      again ? settings_.max_retry_after : Time::zero(),
+                      {},
+                      {}});
+  }
+  if (!asked.ticket.empty()) tickets_.insert(asked.ticket);
+  ++counters_.taken;
   const auto id = ++last_request_;
+  trace(id, "ticket ", asked.ticket, " is taken, class ", asked.cls, ", for ", asked.limit / 1ms, " ms");
   by_client_[asked.client] = id;
   auto& request = requests_[id];
   request.since = now_;
@@ -352,6 +363,8 @@
   if (found == by_client_.end()) return;
   const auto id = found->second;
   auto& request = requests_.at(id);
+  ++counters_.cancelled;
+  trace(id, "is cancelled by its client");
   request.answered = true;  // nothing is owed any more
   by_client_.erase(found);
   --owed_;
@@ -369,6 +382,8 @@
   const auto id = found->second;
   auto& request = requests_.at(id);
   request.half_closed = true;
+  ++counters_.half_closed;
+  trace(id, "has lost its client's sending side");
   withdraw_unsent(id, request);
   const auto out = [](const Attempt& attempt) { return attempt.stage == Stage::out; };
   if (std::ranges::none_of(request.attempts, out)) give_up(id, request);
@@ -384,20 +399,45 @@
 
 // Whether a refusal is true: that trying again is harmless.
 bool Reducer::may_refuse(const Request& request) const {
-  const auto& set = settings_.classes[request.asked.cls];
-  if (set.effect == heronwell::Effect::safe) return true;
-  if (set.effect == heronwell::Effect::keyed && set.group == heronwell::RepeatGroup::all) return true;
-  return std::ranges::none_of(request.attempts, [](const Attempt& a) { return a.may_run_since.has_value(); });
+  const auto may_have_run = [](const Attempt& a) { return a.may_run_since.has_value(); };
+  return guard_.may_refuse(request.asked.cls, std::ranges::none_of(request.attempts, may_have_run));
 }
 
-// The rules on repeats once more, where the first byte leaves: an attempt may have waited for its connection.
-bool Reducer::may_begin(const Request& request) const {
-  const auto& set = settings_.classes[request.asked.cls];
-  if (set.effect == heronwell::Effect::safe) return true;
-  return std::ranges::all_of(request.attempts, [&](const Attempt& earlier) {
-    if (!earlier.may_run_since) return true;
-    return set.effect == heronwell::Effect::keyed && now_ + kTick < *earlier.may_run_since + set.window;
-  });
+Verdict Reducer::may_send(AttemptId id, const Request& request) const {
+  std::vector<Guard::Earlier> earlier;
+  for (std::size_t n = 0; n < request.attempts.size(); ++n) {
+    const auto& other = request.attempts[n];
+    if (n == id.index || !other.may_run_since) continue;
+    const bool running = other.stage != Stage::over || now_ < other.lingers;
+    earlier.push_back({{*other.may_run_since, other.zone, other.cell, false}, running});
+  }
+  const auto& attempt = request.attempts[id.index];
+  const auto member = members_.find(attempt.engine);
+  Guard::Sending sending;
+  sending.request = id.request;
+  sending.cls = request.asked.cls;
+  sending.order_key = request.asked.order_key;
+  sending.answered = request.answered;
+  sending.client_gone = request.half_closed;
+  sending.until = attempt.until;
+  sending.engine = member == members_.end() ? nullptr : &member->second.entry;
+  sending.earlier = earlier;
+  return guard_.may_send(sending, now_);
+}
+
+void Reducer::violated(Violation violation, RequestId id) {
+  ++counters_.violations[static_cast<std::size_t>(violation)];
+  put(Log{std::string("violation: ") + name(violation) + ", request " + std::to_string(id),
+          log::Level::error});
+}
+
+template <class... Parts>
+void Reducer::trace(RequestId id, const Parts&... parts) {
+  if (!tells_all_) return;
+  std::ostringstream line;
+  line << "request " << id << ' ';
+  (line << ... << parts);
+  put(Log{std::move(line).str(), log::Level::debug});
 }
 
 // The engine's state is looked at once more here: the list may have changed while a connection was made.
@@ -405,12 +445,17 @@
   auto* attempt = find(ready.id);
   if (attempt == nullptr || attempt->stage != Stage::waiting) return;
   const auto& request = requests_.at(ready.id.request);
-  const auto member = members_.find(attempt->engine);
-  const bool usable = member != members_.end() && member->second.entry.state == EngineState::ready;
-  if (!usable || request.answered || now_ >= attempt->until || !may_begin(request))
-    return abandon(ready.id, *attempt, usable && !request.answered);
+  const auto verdict = may_send(ready.id, request);
+  if (verdict != Verdict::allowed) {
+    ++counters_.withheld[static_cast<std::size_t>(verdict)];
+    trace(ready.id.request, "attempt ", ready.id.index, " is withheld: ", name(verdict));
+    const bool moved_on = verdict == Verdict::engine_not_ready || verdict == Verdict::answered;
+    return abandon(ready.id, *attempt, !moved_on);
+  }
   attempt->stage = Stage::out;
   attempt->may_run_since = now_;
+  guard_.sent(request.asked.order_key, ready.id.request);
+  trace(ready.id.request, "attempt ", ready.id.index, " leaves for engine ", attempt->engine);
   attempt->priority = request.priority;
   const auto& asked = request.asked;
   put(Transmit{ready.id, asked.cls, attempt->until - now_, request.memory_mb, request.priority, asked.ticket,
@@ -436,6 +481,13 @@
 
 void Reducer::conclude(AttemptId id, Request& request, Result result, AttemptEnded* told) {
   auto& attempt = request.attempts[id.index];
+  if (told != nullptr) {
+    ++counters_.attempts[static_cast<std::size_t>(told->end)];
+    attempt.lingers = now_ + told->lingers;
+    trace(id.request, "attempt ", id.index, " ended: ", name(told->end));
+  }
+  if (attempt.stage == Stage::out || attempt.may_run_since)
+    guard_.ended(request.asked.order_key, id.request, attempt.lingers);
   attempt.stage = Stage::over;
   if (never_ran(result)) attempt.may_run_since.reset();
   heronwell::Outcome outcome;
@@ -538,12 +590,18 @@
 void Reducer::on(const Tick& tick) {
   wheel_.advance(now_, [this](const Alarm& alarm) { on(alarm); });
   hooks_.tick(now_);
+  if (now_ >= guard_swept_ + kSweep) {
+    guard_swept_ = now_;
+    guard_.forget(now_);
+  }
   if (lifecycle_.overdue(now_)) give_up_all();
   // What stays in the table without an answer owed waits for engines to hear that it was given up.
   if (!lifecycle_.advance(now_, owed_ > 0, tick.unwritten || !requests_.empty())) return;
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
   if (lifecycle_.phase() == Phase::stopping) put(CloseFronts{});
-  if (lifecycle_.phase() == Phase::exited) put(Exit{});
+  if (lifecycle_.phase() != Phase::exited) return;
+  if (owed_ > 0) violated(Violation::lost_at_exit, 0);
+  put(Exit{});
 }
 
 // The program ends before these could: better a refusal now than none at all.
@@ -599,9 +657,18 @@
   attempt.engine = send.engine;
   attempt.begun = now_;
   attempt.until = std::min(send.until == Time::zero() ? request->deadline : send.until, request->deadline);
+  if (const auto member = members_.find(send.engine); member != members_.end()) {
+    attempt.zone = member->second.entry.zone;
+    attempt.cell = member->second.entry.cell;
+  }
   request->attempts.push_back(attempt);
-  if (request->answered || request->half_closed || attempt.until <= now_)
+  const auto verdict = may_send(id, *request);
+  if (verdict != Verdict::allowed) {
+    if (Guard::breaks_a_rule(verdict)) violated(Violation::unsafe_send, id.request);
+    ++counters_.withheld[static_cast<std::size_t>(verdict)];
+    trace(id.request, "attempt ", id.index, " is not begun: ", name(verdict));
     return conclude(id, *request, Result::moot, nullptr);
+  }
   wheel_.arm(attempt.until, {Alarm::Kind::attempt, id});
   put(StartAttempt{id, send.engine});
 }
@@ -621,6 +688,13 @@
 void Reducer::act(const heronwell::Refuse& refuse) {
   auto* request = find(refuse.request);
   if (request == nullptr || request->answered) return;
+  ++counters_.unserved[static_cast<std::size_t>(refuse.reason)];
+  trace(refuse.request, "is refused: ", name(refuse.reason));
+  if (!may_refuse(*request)) {
+    violated(Violation::unsafe_refusal, refuse.request);
+    answer(refuse.request, *request, AnswerKind::failed, Time::zero(), {});
+    return forget_if_done(refuse.request);
+  }
   answer(refuse.request, *request, AnswerKind::refused, refuse.pause, {});
   forget_if_done(refuse.request);
 }
@@ -628,6 +702,8 @@
 void Reducer::act(const heronwell::Fail& fail) {
   auto* request = find(fail.request);
   if (request == nullptr || request->answered) return;
+  ++counters_.unserved[static_cast<std::size_t>(fail.reason)];
+  trace(fail.request, "is failed: ", name(fail.reason));
   const bool late = now_ >= request->deadline - kTimedOut;
   answer(fail.request, *request, late ? AnswerKind::timed_out : AnswerKind::failed, Time::zero(), {});
   forget_if_done(fail.request);
@@ -660,6 +736,10 @@
 
 void Reducer::answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
                      std::string shape) {
+  if (request.answered) return violated(Violation::second_answer, id);
+  if (now_ > request.deadline + kLateAnswer) violated(Violation::late_answer, id);
+  ++counters_.answered[static_cast<std::size_t>(kind)];
+  trace(id, "is answered: ", name(kind), ", after ", (now_ - request.since) / 1ms, " ms");
   if (kind != AnswerKind::served) body = request.last_word;
   request.answered = true;
   by_client_.erase(request.asked.client);
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -9,7 +9,9 @@
 #include <unordered_set>
 #include <vector>
 
+#include "core/counters.hpp"
 #include "core/events.hpp"
+#include "core/guard.hpp"
 #include "core/lifecycle.hpp"
 #include "core/start_clock.hpp"
 #include "core/wheel.hpp"
@@ -39,6 +41,9 @@
   [[nodiscard]] std::vector<hooks::Status> hooks() const { return hooks_.status(); }
   [[nodiscard]] std::size_t owed() const { return owed_; }  // requests without their final answer
   [[nodiscard]] std::size_t held() const { return requests_.size(); }
+  [[nodiscard]] const Counters& counters() const { return counters_; }
+  // Each request's way is told in lines of the level "debug".
+  void tell_all(bool on) { tells_all_ = on; }
   // Tenants, by their positions, that requests or hooks refer to.
   [[nodiscard]] std::unordered_set<std::uint32_t> tenants_held() const;
 
@@ -49,6 +54,8 @@
     Stage stage = Stage::waiting;
     Time begun{}, until{};
     std::optional<Time> may_run_since;  // its first byte may have left then; none: it never ran
+    Time lingers{};                     // it may run on until then, though it has ended here
+    std::uint16_t zone = 0, cell = 0;   // of the engine
     bool timed_out = false;
     std::uint8_t priority = 1;
   };
@@ -117,7 +124,10 @@
   void answer_unserved(RequestId id, Request& request);
   void withdraw_unsent(RequestId id, Request& request);
   [[nodiscard]] bool may_refuse(const Request& request) const;
-  [[nodiscard]] bool may_begin(const Request& request) const;
+  [[nodiscard]] Verdict may_send(AttemptId id, const Request& request) const;
+  void violated(Violation violation, RequestId id);
+  template <class... Parts>
+  void trace(RequestId id, const Parts&... parts);
   [[nodiscard]] Time start_of(const Member& member, bool live);
   void read_starts_anew();
   void answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
@@ -131,6 +141,10 @@
 
   heronwell::Settings settings_;
   heronwell::Gateway gateway_;
+  Guard guard_{settings_};
+  Counters counters_;
+  bool tells_all_ = false;
+  Time guard_swept_{};
   // The change log's address: by the platform's configuration, and by the version in force, which wins.
   std::string own_changelog_, named_changelog_;
   Lifecycle lifecycle_;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -105,7 +105,7 @@
   // A signal that comes before the program can heed it waits; Broker::run() lets it through.
   sigset_t held;
   sigemptyset(&held);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held, signal);
+  for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&held, signal);
   if (options.command == "serve") {
     sigprocmask(SIG_BLOCK, &held, nullptr);
     bellstair::log::start(options.log_level);
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "core/guard.hpp"
+
 namespace bellstair::platform {
 namespace {
 using namespace std::chrono_literals;
@@ -39,7 +41,8 @@
     int looks = 0;
     for (auto* connection : ranks_[static_cast<std::size_t>(rank)]) {
       if (++looks > kLooks) break;
-      if (connection->stream.unread() != net::Stream::Unread::bytes) return connection;
+      const bool unread = connection->stream.unread() == net::Stream::Unread::bytes;
+      if (core::Guard::may_close(connection->open.size(), unread)) return connection;
     }
   }
   return nullptr;
