--- a/tests/faults/faults.hpp
+++ b/tests/faults/faults.hpp
@@ -5,6 +5,7 @@
 #include <sys/mman.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdlib>
 #include <initializer_list>
 #include <map>
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,440 @@
+// The soak test: brokers, engines and clients as real processes on loopback, with seeded troubles that
+// overlap, judged by the protocol's rules. `soak --seed N --seconds S [--brokers B] [--engines E] [--clients
+// C]`.
+#include <sys/resource.h>
+
+#include <functional>
+#include <iostream>
+#include <random>
+
+#include "../faults/faults.hpp"
+#include "../processes/process.hpp"
+#include "../processes/relay.hpp"
+#include "judge.hpp"
+#include "records.hpp"
+
+namespace bellstair::soak {
+namespace {
+using namespace std::chrono_literals;
+using test::json;
+
+constexpr double kCores = 8, kColdFrom = 0.33, kRampMs = 15'000, kTipMultiple = 2.5, kFullCapacity = 0.85;
+constexpr double kWorkSeconds = 0.4;  // of a query, as stand-in engines tell it
+
+// A process of this program's own, and the lines it writes.
+class StandIn {
+ public:
+  StandIn(const std::vector<std::string>& arguments, test::Log<std::string>& records) {
+    int out[2];
+    if (::pipe2(out, O_CLOEXEC) != 0) throw std::runtime_error("no pipe");
+    std::vector<char*> argv{const_cast<char*>("soak")};
+    for (const auto& argument : arguments) argv.push_back(const_cast<char*>(argument.c_str()));
+    argv.push_back(nullptr);
+    pid_ = ::fork();
+    if (pid_ == 0) {
+      ::dup2(out[1], STDOUT_FILENO);
+      ::execv("/proc/self/exe", argv.data());
+      ::_exit(127);
+    }
+    ::close(out[1]);
+    reader_ = std::thread([fd = out[0], &records] {
+      const net::Fd owner(fd);
+      std::string rest;
+      char buffer[65536];
+      for (ssize_t got = 0; (got = ::read(fd, buffer, sizeof buffer)) > 0;) {
+        rest.append(buffer, static_cast<std::size_t>(got));
+        for (std::size_t end = 0; (end = rest.find('\n')) != std::string::npos; rest.erase(0, end + 1))
+          records.add(rest.substr(0, end));
+      }
+    });
+  }
+  ~StandIn() {
+    signal(SIGKILL);
+    wait();
+  }
+  void signal(int number) const {
+    if (pid_ > 0) ::kill(pid_, number);
+  }
+  void wait() {
+    if (pid_ > 0) ::waitpid(std::exchange(pid_, -1), nullptr, 0);
+    if (reader_.joinable()) reader_.join();
+  }
+
+ private:
+  pid_t pid_ = -1;
+  std::thread reader_;
+};
+
+struct Options {
+  std::uint64_t seed = 1;
+  double seconds = 20;
+  std::size_t brokers = 8, engines = 12, clients = 10;
+};
+
+class Soak {
+ public:
+  explicit Soak(const Options& options) : options_(options), random_(options.seed) {
+    network_.place("changes", changes_.address());
+    for (std::size_t i = 0; i < options_.engines; ++i) add_engine(false);
+    tell_engines(true);
+    for (std::size_t i = 0; i < options_.brokers; ++i) {
+      auto& broker = brokers_.emplace_back(std::make_unique<Broker>(options_.seed * 100 + i));
+      broker->name = "n" + std::to_string(i);
+      start(*broker, i);
+    }
+  }
+
+  int run() {
+    std::vector<std::unique_ptr<StandIn>> clients;
+    for (std::size_t i = 0; i < options_.clients; ++i) {
+      std::vector<std::string> arguments{"client", std::to_string(options_.seed * 1000 + i),
+                                         std::to_string(options_.seconds)};
+      for (const auto& broker : brokers_) arguments.push_back(broker->reserved.address);
+      clients.push_back(std::make_unique<StandIn>(arguments, records_));
+    }
+    const double until = now_ms() + options_.seconds * 1000;
+    while (now_ms() < until) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(50 + draw(500)));
+      do_what_is_due();
+      if (now_ms() < until - 3000) make_trouble();
+    }
+    for (auto& [at, what] : std::exchange(later_, {})) what();
+    for (auto& client : clients) client->wait();
+    stop_brokers();
+    return report();
+  }
+
+ private:
+  struct Broker {
+    explicit Broker(std::uint64_t seed) : faults(seed) {}
+    std::string name;
+    test::Reserved reserved;
+    test::Faults faults;
+    std::unique_ptr<test::Program> program;
+    bool down = false;
+  };
+  struct Engine {
+    std::string name;
+    test::Reserved reserved;
+    std::unique_ptr<StandIn> process;
+    bool usable = true;  // in service, and not under another trouble
+    std::int64_t started_ms = 0;
+  };
+
+  std::uint64_t draw(std::uint64_t below) { return random_() % below; }
+  void after(double ms, std::function<void()> what) { later_.emplace(now_ms() + ms, std::move(what)); }
+  void do_what_is_due() {
+    while (!later_.empty() && later_.begin()->first <= now_ms()) {
+      const auto what = std::move(later_.begin()->second);
+      later_.erase(later_.begin());
+      what();
+    }
+  }
+  void say(const std::string& what) { troubles_.push_back(std::to_string(now_ms()) + " " + what); }
+
+  // ---- processes
+  static json settings(std::size_t me, std::size_t all) {
+    json out = test::settings();
+    out["balancers"] = all;
+    out["me"] = me;
+    out["ceilings"]["dial-timeout"] = 250'000'000;
+    out["ceilings"]["idle-close"] = 4'000'000'000;
+    out["safety"]["tip-multiple"] = kTipMultiple;
+    out["safety"]["fall"] = 1'000'000'000;
+    out["safety"]["cold-from"] = kColdFrom;
+    out["safety"]["ramp-time"] = 15'000'000'000;
+    return out;
+  }
+  void start(Broker& broker, std::size_t number) {
+    const json config{{"name", broker.name},
+                      {"listen", broker.reserved.address},
+                      {"seed", "8c1f30d27a5be96" + std::to_string(draw(10))},
+                      {"limits", {{"sockets", 256}}},
+                      {"changelog", network_.address(broker.name, "changes")},
+                      {"known", changes_.known()},
+                      {"settings", settings(number, options_.brokers)}};
+    const auto file = files_.emplace_back(test::temporary(config.dump()));
+    const bool faulty = number % 2 == 1;
+    broker.program = std::make_unique<test::Program>(
+        std::vector<std::string>{"serve", "--config", file},
+        faulty ? broker.faults.environment() : std::map<std::string, std::string>{});
+    try {
+      broker.program->said("phase: serving");
+    } catch (const std::exception& error) {
+      broken_.push_back(broker.name + " did not start: " + error.what());
+    }
+    broker.down = false;
+  }
+  void add_engine(bool newcomer) {
+    auto engine = std::make_shared<Engine>();
+    char name[16];
+    std::snprintf(name, sizeof name, "s-%08zx", engines_.size() + 1);
+    engine->name = name;
+    engine->process = std::make_unique<StandIn>(
+        std::vector<std::string>{"engine", name, engine->reserved.address,
+                                 std::to_string(options_.seed * 10'000 + engines_.size())},
+        records_);
+    records_.wait([up = "up " + engine->name + " "](const std::string& line) { return line.find(up) == 0; });
+    network_.place(engine->name, engine->reserved.address);
+    engines_.push_back(engine);
+    if (!newcomer) return;
+    engine->started_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                             std::chrono::system_clock::now().time_since_epoch())
+                             .count();
+    history_.engines[engine->name].began = now_ms();
+    changes_.push({entry(*engine, "in_service")});
+  }
+  json entry(const Engine& engine, const char* state) {
+    auto out = test::server(engine.name, network_.address("brokers", engine.name), state);
+    out["started_ms"] = engine.started_ms;
+    return out;
+  }
+  void tell_engines(bool full) {
+    json all = json::array();
+    for (const auto& engine : engines_) all.push_back(entry(*engine, "in_service"));
+    changes_.push(std::move(all), full);
+  }
+
+  // ---- troubles
+  void make_trouble() {
+    using Trouble = void (Soak::*)();
+    static constexpr Trouble kTroubles[] = {&Soak::restart_broker, &Soak::kill_broker,  &Soak::reload,
+                                            &Soak::replace_engine, &Soak::drain_engine, &Soak::stop_engine,
+                                            &Soak::reset_links,    &Soak::cut_link,     &Soak::cut_change_log,
+                                            &Soak::step_clock,     &Soak::fail_calls,   &Soak::fail_calls,
+                                            &Soak::hold_change_log};
+    (this->*kTroubles[draw(std::size(kTroubles))])();
+  }
+  Broker* any_broker() {
+    auto& broker = *brokers_[draw(brokers_.size())];
+    const auto down = std::ranges::count_if(brokers_, [](const auto& b) { return b->down; });
+    return broker.down || static_cast<std::size_t>(down) * 2 >= brokers_.size() ? nullptr : &broker;
+  }
+  std::shared_ptr<Engine> any_engine() {
+    std::vector<std::shared_ptr<Engine>> usable;
+    for (const auto& engine : engines_)
+      if (engine->usable) usable.push_back(engine);
+    return usable.size() * 2 <= options_.engines ? nullptr : usable[draw(usable.size())];
+  }
+  std::size_t number_of(const Broker& broker) const { return std::stoul(broker.name.substr(1)); }
+
+  void restart_broker() {
+    auto* broker = any_broker();
+    if (broker == nullptr) return;
+    say("SIGTERM to " + broker->name);
+    broker->down = true;
+    history_.brokers[broker->reserved.address].told_to_stop.push_back(now_ms());
+    broker->program->signal(SIGTERM);
+    after(4200, [this, broker] {
+      check_exit(*broker);
+      start(*broker, number_of(*broker));
+    });
+  }
+  void kill_broker() {
+    auto* broker = any_broker();
+    if (broker == nullptr) return;
+    say("SIGKILL to " + broker->name);
+    broker->down = true;
+    history_.brokers[broker->reserved.address].killed.push_back(now_ms());
+    broker->program->signal(SIGKILL);
+    broker->program->wait();
+    keep_log(*broker);
+    after(300 + static_cast<double>(draw(900)), [this, broker] { start(*broker, number_of(*broker)); });
+  }
+  void reload() {
+    if (auto* broker = any_broker(); broker != nullptr) {
+      say("SIGHUP to " + broker->name);
+      broker->program->signal(SIGHUP);
+    }
+  }
+  void replace_engine() {
+    const auto engine = any_engine();
+    if (!engine) return;
+    say("SIGKILL to " + engine->name + ", and a newcomer");
+    engine->usable = false;
+    history_.engines[engine->name].killed = now_ms();
+    engine->process->signal(SIGKILL);
+    after(400 + static_cast<double>(draw(1500)), [this, engine] {
+      changes_.push({entry(*engine, "terminated")});
+      history_.engines[engine->name].told_draining =
+          std::min(history_.engines[engine->name].told_draining, now_ms());
+      add_engine(true);
+    });
+  }
+  void drain_engine() {
+    const auto engine = any_engine();
+    if (!engine) return;
+    say(engine->name + " drains, and a newcomer");
+    engine->usable = false;
+    changes_.push({entry(*engine, "terminating")});
+    history_.engines[engine->name].told_draining = now_ms();
+    add_engine(true);
+  }
+  void stop_engine() {
+    const auto engine = any_engine();
+    if (!engine) return;
+    say(engine->name + " hangs");
+    engine->usable = false;
+    engine->process->signal(SIGSTOP);
+    history_.engines[engine->name].stopped.push_back({now_ms(), kNever});
+    after(500 + static_cast<double>(draw(2500)), [this, engine] {
+      engine->process->signal(SIGCONT);
+      history_.engines[engine->name].stopped.back().to = now_ms();
+      engine->usable = true;
+    });
+  }
+  void reset_links() {
+    if (const auto engine = any_engine()) {
+      say("connections to " + engine->name + " are reset");
+      network_.with("brokers", engine->name, [](test::Link& link) { link.reset(); });
+    }
+  }
+  void cut_link() {
+    const auto engine = any_engine();
+    if (!engine) return;
+    say(engine->name + " is cut off");
+    engine->usable = false;
+    network_.with("brokers", engine->name, [](test::Link& link) { link.cut(); });
+    after(300 + static_cast<double>(draw(1200)), [this, engine] {
+      network_.with("brokers", engine->name, [](test::Link& link) { link.heal(); });
+      engine->usable = true;
+    });
+  }
+  // What it tells meanwhile counts as told all the same, 7 s later at the latest: no drain comes while it is
+  // out.
+  void on_change_log(const std::string& what, const std::function<void(test::Link&)>& how) {
+    const auto broker = "n" + std::to_string(draw(brokers_.size()));
+    say("the change log " + what + " for " + broker);
+    network_.with(broker, "changes", how);
+    after(200 + static_cast<double>(draw(200)),
+          [this, broker] { network_.with(broker, "changes", [](test::Link& link) { link.heal(); }); });
+  }
+  void cut_change_log() {
+    on_change_log("is cut off", [](test::Link& link) { link.cut(); });
+  }
+  void hold_change_log() {
+    on_change_log("is silent", [](test::Link& link) { link.silence(); });
+  }
+  void step_clock() {
+    auto& broker = *brokers_[draw(brokers_.size())];
+    constexpr int kSteps[] = {-3600, -7, 7, 3600};
+    const auto by = kSteps[draw(std::size(kSteps))];
+    say("the clock of " + broker.name + " steps by " + std::to_string(by) + " s");
+    broker.faults.step_wall_clock(std::chrono::seconds(by));
+  }
+  void fail_calls() {
+    using test::FaultyCall;
+    struct Kind {
+      FaultyCall call;
+      std::initializer_list<int> errors;
+    };
+    static const Kind kKinds[] = {
+        {FaultyCall::accept, {ENFILE, ECONNABORTED, ENOBUFS, EINTR, EPROTO}},
+        {FaultyCall::connect, {ENETUNREACH, EADDRNOTAVAIL, ENOBUFS, EINTR, ETIMEDOUT}},
+        {FaultyCall::socket, {ENFILE, ENOBUFS, ENOMEM}},
+        {FaultyCall::send, {EINTR, EAGAIN}},
+        {FaultyCall::receive, {EINTR}},
+        {FaultyCall::wait, {EINTR}}};
+    auto& broker = *brokers_[draw(brokers_.size())];
+    const auto& kind = kKinds[draw(std::size(kKinds))];
+    say("calls of kind " + std::to_string(static_cast<int>(kind.call)) + " fail at " + broker.name);
+    broker.faults.fail(kind.call, 5, kind.errors);
+    broker.faults.shorten(FaultyCall::receive, 4);
+    broker.faults.shorten(FaultyCall::send, 4);
+    after(500 + static_cast<double>(draw(2500)), [&broker, call = kind.call] { broker.faults.stop(call); });
+  }
+
+  // ---- the end
+  void keep_log(Broker& broker) {
+    for (auto& line : broker.program->all_lines()) {
+      if (line.find("violation:") != std::string::npos || line.find("ERROR:") != std::string::npos ||
+          line.find("runtime error") != std::string::npos)
+        broken_.push_back(broker.name + " said: " + line);
+      logs_.push_back(line);
+    }
+  }
+  void check_exit(Broker& broker) {
+    const double from = now_ms();
+    const int status = broker.program->wait();
+    if (status != 0) broken_.push_back(broker.name + " ended with status " + std::to_string(status));
+    if (now_ms() > from + 1000) broken_.push_back(broker.name + " took too long to end");
+    keep_log(broker);
+    if (logs_.empty() || logs_.back().find("counters: violations=0") == std::string::npos)
+      broken_.push_back(broker.name +
+                        " ended without clean counters: " + (logs_.empty() ? "" : logs_.back()));
+  }
+  void stop_brokers() {
+    for (auto& broker : brokers_) {
+      broker->program->signal(SIGTERM);
+    }
+    std::this_thread::sleep_for(4s);
+    for (auto& broker : brokers_) check_exit(*broker);
+  }
+  int report() {
+    const SlowStart slow_start{kTipMultiple * kFullCapacity * kCores / kWorkSeconds, kColdFrom, kRampMs,
+                               1000};
+    auto verdicts = judge(records_.all(), history_, slow_start);
+    for (auto& line : broken_) verdicts.broken.push_back(std::move(line));
+    std::cout << "seed " << options_.seed << ": " << troubles_.size() << " troubles";
+    for (const auto& [what, count] : verdicts.counts) std::cout << ", " << count << ' ' << what;
+    std::cout << "; " << verdicts.broken.size() << " broken rules\n";
+    if (!verdicts.broken.empty()) {
+      for (const auto& line : troubles_) std::cout << "  trouble " << line << '\n';
+      for (const auto& line : verdicts.broken) std::cout << "  BROKEN " << line << '\n';
+    }
+    for (const auto& file : files_) ::unlink(file.c_str());
+    return verdicts.broken.empty() ? 0 : 1;
+  }
+
+  Options options_;
+  std::mt19937_64 random_;
+  test::Log<std::string> records_;
+  test::ChangeLog changes_;
+  test::Network network_;
+  History history_;
+  std::vector<std::shared_ptr<Engine>> engines_;
+  std::vector<std::unique_ptr<Broker>> brokers_;
+  std::multimap<double, std::function<void()>> later_;
+  std::vector<std::string> troubles_, broken_, logs_, files_;
+};
+
+int usage() {
+  std::cerr << "usage: soak [--seed N] [--seconds S] [--brokers B] [--engines E] [--clients C]\n";
+  return 2;
+}
+
+int run(const std::vector<std::string>& arguments) {
+  Options options;
+  for (std::size_t i = 0; i < arguments.size(); i += 2) {
+    if (i + 1 == arguments.size()) return usage();
+    const auto& value = arguments[i + 1];
+    if (arguments[i] == "--seed") {
+      options.seed = std::stoull(value);
+    } else if (arguments[i] == "--seconds") {
+      options.seconds = std::stod(value);
+    } else if (arguments[i] == "--brokers") {
+      options.brokers = std::stoul(value);
+    } else if (arguments[i] == "--engines") {
+      options.engines = std::stoul(value);
+    } else if (arguments[i] == "--clients") {
+      options.clients = std::stoul(value);
+    } else {
+      return usage();
+    }
+  }
+  return Soak(options).run();
+}
+}  // namespace
+}  // namespace bellstair::soak
+
+int main(int argc, char** argv) {
+  using namespace bellstair::soak;
+  std::signal(SIGPIPE, SIG_IGN);
+  const std::vector<std::string> arguments(argv + 1, argv + argc);
+  if (arguments.size() == 4 && arguments[0] == "engine")
+    return run_engine(arguments[1], arguments[2], std::stoull(arguments[3]));
+  if (arguments.size() > 3 && arguments[0] == "client")
+    return run_client({arguments.begin() + 3, arguments.end()}, std::stoull(arguments[1]),
+                      std::stod(arguments[2]));
+  return run(arguments);
+}
