Wait for descriptors or memory at the start instead of giving up

Seen in the soak: a broker that was restarted while socket() failed with ENOMEM said so and ended; on the platform that is a broker that does not come back, and for its peers' datagrams a broker that goes without for good. Cause: listen_tcp and bind_udp tried once. Ruled out: errors that do not pass (an address in use or of another machine), which end the program at once as before.

Both try again for up to 2 s on EMFILE, ENFILE, ENOBUFS, ENOMEM and EINTR.

--- a/src/net/socket.cpp
+++ b/src/net/socket.cpp
@@ -6,6 +6,8 @@
 
 #include <cerrno>
 #include <charconv>
+#include <chrono>
+#include <thread>
 
 namespace bellstair::net {
 namespace {
@@ -32,13 +34,36 @@
   return out;
 }
 
-Fd listen_tcp(const sockaddr_in& at) {
+// Want of descriptors or memory passes; an address that is in use, or not of this machine, does not.
+namespace {
+constexpr int kMostTries = 40;
+constexpr std::chrono::milliseconds kBetweenTries{50};
+
+bool may_pass(int error) {
+  return error == EMFILE || error == ENFILE || error == ENOBUFS || error == ENOMEM || error == EINTR;
+}
+
+template <class Make>
+Fd make_patiently(Make make) {
+  for (int tries = 1;; ++tries) {
+    auto fd = make();
+    if (fd || !may_pass(errno) || tries == kMostTries) return fd;
+    std::this_thread::sleep_for(kBetweenTries);
+  }
+}
+
+Fd try_to_listen(const sockaddr_in& at) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) return fd;
   set(fd.get(), SOL_SOCKET, SO_REUSEADDR);
   if (::bind(fd.get(), any(at), sizeof at) != 0 || ::listen(fd.get(), 512) != 0) return {};
   return fd;
 }
+}  // namespace
+
+Fd listen_tcp(const sockaddr_in& at) {
+  return make_patiently([&at] { return try_to_listen(at); });
+}
 
 namespace {
 std::string address_of(int fd, decltype(::getsockname)* get) {
@@ -54,11 +79,17 @@
 std::string local_address(int fd) { return address_of(fd, ::getsockname); }
 std::string peer_address(int fd) { return address_of(fd, ::getpeername); }
 
-Fd bind_udp(const sockaddr_in& at) {
+namespace {
+Fd try_to_bind_udp(const sockaddr_in& at) {
   Fd fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (fd && ::bind(fd.get(), any(at), sizeof at) != 0) return {};
   return fd;
 }
+}  // namespace
+
+Fd bind_udp(const sockaddr_in& at) {
+  return make_patiently([&at] { return try_to_bind_udp(at); });
+}
 
 Fd begin_connect(const sockaddr_in& to) {
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
--- a/src/net/socket.hpp
+++ b/src/net/socket.hpp
@@ -38,10 +38,12 @@
 };
 
 // All of these give non-blocking sockets; an empty Fd where the system says no (errno tells why).
+// These two are for the program's start: while the system is short of descriptors or memory they wait, for 2
+// s at the most.
 [[nodiscard]] Fd listen_tcp(const sockaddr_in& at);
+[[nodiscard]] Fd bind_udp(const sockaddr_in& at);
 [[nodiscard]] std::string local_address(int fd);
 [[nodiscard]] std::string peer_address(int fd);
-[[nodiscard]] Fd bind_udp(const sockaddr_in& at);
 [[nodiscard]] Fd begin_connect(const sockaddr_in& to);  // done once it is writable, see connect_error()
 [[nodiscard]] int connect_error(int fd);                // 0: connected
 
