Refuse by its id what is asked on a connection without room

Seen: what came on a connection beyond the front's room was read by the lingering close and dropped, its client told by an error without an id: read, and closed without its answer. Cause: Front::accept wrote its word and gave the stream to the lingerer at once.

--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -29,10 +29,11 @@
 // A connection without an open request may be closed at any time: first those that never asked for anything.
 // One with a request that has come, and has not been read yet, is not at rest.
 bool Front::make_room() {
-  if (connections_.size() < most_connections_) return true;
-  auto* connection = longest_at_rest();
-  if (connection == nullptr) return false;
-  connection->stream.unread() == net::Stream::Unread::end ? close(*connection) : finish(*connection);
+  while (connections_.size() >= most_connections_) {
+    auto* connection = longest_at_rest();
+    if (connection == nullptr) return false;
+    connection->stream.unread() == net::Stream::Unread::end ? close(*connection) : finish(*connection);
+  }
   return true;
 }
 
@@ -70,7 +71,8 @@
 }
 
 void Front::accept(net::Fd fd) {
-  if (!make_room()) {
+  const bool room = make_room();
+  if (!room && connections_.size() >= most_connections_ + kMostRefusing) {
     net::Stream turned_away(loop_, std::move(fd), false, kMostUnwritten);
     turned_away.write(rpc_error(std::nullopt, kRpcRefused, "too many connections"));
     lingerer_.take(turned_away);
@@ -80,6 +82,7 @@
   auto& connection = *made;
   connection.serial = ++serial_;
   connection.since = now_;
+  connection.refuses = !room;
   auto& strangers = ranks_[static_cast<std::size_t>(Rank::stranger)];
   connection.place = strangers.insert(strangers.end(), &connection);
   connections_.emplace(connection.serial, std::move(made));
@@ -159,7 +162,9 @@
 
 // At the end no descriptor is needed any more.
 void Front::trim() {
-  if (!finishing_) lingerer_.trim(most_connections_ + kMostLingering - connections_.size());
+  if (finishing_) return;
+  const auto room = most_connections_ + kMostLingering;
+  lingerer_.trim(room > connections_.size() ? room - connections_.size() : 0);
 }
 
 void Front::settle() {
@@ -196,6 +201,7 @@
     bytes.remove_prefix(end + 1);
   }
   if (!connection.stream.open() || connection.closing) return;
+  if (connection.refuses && connection.spoken && bytes.empty()) return finish(connection);
   rank(connection);
   if (bytes.empty()) return;
   if (connection.in.size() + bytes.size() > kMostLine || partial_ + bytes.size() > kMostPartial)
@@ -220,6 +226,10 @@
     cancel(connection, *cancelled);
   } else {
     auto& request = std::get<RpcRequest>(message);
+    if (connection.refuses) {
+      connection.stream.write(rpc_error(request.id, kRpcRefused, "too many connections"));
+      return;
+    }
     if (connection.open.contains(request.id)) {
       return strike(connection, rpc_error(std::nullopt, -32600, "the id is in use"));
     }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -45,6 +45,7 @@
   static constexpr unsigned kMostStrikes = 64;        // lines of no use, on one connection
   static constexpr std::size_t kMostOpen = 32;
   static constexpr std::size_t kMostLingering = 16;  // beyond what the connections' room leaves
+  static constexpr std::size_t kMostRefusing = 16;   // connections beyond the room, each request refused
 
   // In the order in which they are closed to make room. Busy ones never are.
   enum class Rank { stranger, idle, busy };
@@ -58,6 +59,7 @@
     bool spoken = false;        // a whole line has come
     bool asked = false;         // a request was taken
     bool watched = false;       // a timer is armed for it
+    bool refuses = false;       // there was no room for it: what it asks is refused
     unsigned strikes = 0;
     core::Time since{};  // it was accepted, or the line that is not whole began
     Rank rank = Rank::stranger;
