Have queries queue in the soak, and judge half-closed clients too

Engines have one core in the settings, so that queries wait; what begins for a client after its half-close counts as begun for one that has gone.

--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -97,6 +97,7 @@
       return false;
     }
     if (what == 1) {  // closes only its sending side
+      for (const auto& [id, open] : open_) record("half", open.ticket, now_ms());
       ::shutdown(socket.fd(), SHUT_WR);
       read_all(socket);
       return true;
--- a/tests/soak/judge.cpp
+++ b/tests/soak/judge.cpp
@@ -26,7 +26,7 @@
 };
 struct Request {
   std::string ticket, cls, key, broker;
-  double limit = 0, at = 0, left = kNever, unanswered = kNever;
+  double limit = 0, at = 0, left = kNever, half_closed = kNever, unanswered = kNever;
   bool first = false;  // on its connection
   std::vector<std::pair<std::string, double>> answers;
   std::vector<Attempt> attempts;
@@ -64,6 +64,8 @@
       r.first = w.at(6) == "first", r.at = number(7);
     } else if (w[0] == "left") {
       requests_[w.at(1)].left = number(2);
+    } else if (w[0] == "half") {
+      requests_[w.at(1)].half_closed = number(2);
     } else if (w[0] == "answer") {
       requests_[w.at(1)].answers.emplace_back(w.at(2), number(4));
       ++out_.counts[w.at(2)];
@@ -152,7 +154,7 @@
         broken("repeated after its window", r.ticket);
       if (unsure(a)) continue;
       if (i > 0 && a.at + kMachine < end_of(attempts[i - 1])) broken("two attempts at once", r.ticket);
-      if (a.at > r.left + kAfterLeaving + kMachine)
+      if (a.at > std::min(r.left, r.half_closed) + kAfterLeaving + kMachine)
         broken("begun for a client that had gone", r.ticket, a.at - r.left);
       if (a.max_ms > r.limit - (a.at - r.at) + kDeadlineSlack + kMachine)
         broken("told a deadline beyond its client's", r.ticket, a.max_ms, r.limit - (a.at - r.at));
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,7 +18,8 @@
 using namespace std::chrono_literals;
 using test::json;
 
-constexpr double kCores = 8, kColdFrom = 0.33, kRampMs = 15'000, kTipMultiple = 2.5, kFullCapacity = 0.85;
+constexpr double kCores = 1,  // an engine: few enough for queries to queue
+    kColdFrom = 0.33, kRampMs = 15'000, kTipMultiple = 2.5, kFullCapacity = 0.85;
 constexpr std::size_t kLinesToLookAt = 2000;  // of a log, for those of one request
 constexpr double kWorkSeconds = 0.4;          // of a query, as stand-in engines tell it
 
@@ -140,6 +141,7 @@
     out["me"] = me;
     out["ceilings"]["dial-timeout"] = 250'000'000;
     out["ceilings"]["idle-close"] = 4'000'000'000;
+    out["family-info"]["cpu-of-kind"] = {kCores};
     out["safety"]["tip-multiple"] = kTipMultiple;
     out["safety"]["fall"] = 1'000'000'000;
     out["safety"]["cold-from"] = kColdFrom;
--- a/tests/soak/records.hpp
+++ b/tests/soak/records.hpp
@@ -37,7 +37,8 @@
 }
 
 // Engines tell:  post ENGINE TICKET CLASS MAX_MS AT   shed ENGINE TICKET AT   end ENGINE TICKET AT
-// Clients tell:  ask TICKET CLASS KEY LIMIT_MS BROKER FIRST_ON_CONNECTION AT   left TICKET AT
+// Clients tell:  ask TICKET CLASS KEY LIMIT_MS BROKER FIRST_ON_CONNECTION AT   left TICKET AT   half TICKET
+// AT
 //                answer TICKET KIND BODY_IS_ITS_OWN AT   unanswered TICKET AT
 int run_engine(const std::string& name, const std::string& address, std::uint64_t seed);
 int run_client(const std::vector<std::string>& brokers, std::uint64_t seed, double seconds);
