--- /dev/null
+++ b/tests/faults/io_test.cpp
@@ -0,0 +1,75 @@
+// send(), recv() and epoll_wait() that are interrupted, transfer a part, or meet a connection that broke.
+#include <gtest/gtest.h>
+
+#include "../net/harness.hpp"
+#include "faults.hpp"
+
+namespace bellstair::test {
+namespace {
+
+std::string ticket(int n) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(n));
+  return text;
+}
+
+struct Served {
+  explicit Served(const Faults& faults)
+      : broker({{"s-00000001", engine.server.address()}}, {}, 0, json::object(), json::object(),
+               faults.environment()) {}
+  HttpEngine engine{[](const Call& call) {
+    return call.method == "DELETE" ? http(204) : rows(std::string(2000, 'x') + "\ty\tz\n");
+  }};
+  Broker broker;
+};
+
+TEST(IoFaults, InterruptedAndPartialTransfersCostNothing) {
+  Faults faults;
+  Served served(faults);
+  faults.fail(FaultyCall::send, 5, {EINTR, EAGAIN});
+  faults.fail(FaultyCall::receive, 5, {EINTR});
+  faults.fail(FaultyCall::wait, 5, {EINTR});
+  faults.shorten(FaultyCall::send, 2);
+  faults.shorten(FaultyCall::receive, 2);
+  Client client(served.broker.address);
+  for (int n = 1; n <= 60; ++n) {
+    client.ask(n, "once", "SELECT a FROM sales_17.orders", {{"txn", ticket(n)}});
+    EXPECT_EQ(body(client.answer()), std::string(2000, 'x') + "\ty\tz\n");
+  }
+  EXPECT_EQ(served.engine.posts(), 60U);
+}
+
+// Whoever's connection breaks, no statement that is unsafe to repeat runs twice, and the program goes on.
+TEST(IoFaults, AConnectionThatBreaksRepeatsNothingThatMayHaveRun) {
+  Faults faults;
+  Served served(faults);
+  faults.fail(FaultyCall::receive, 15, {ETIMEDOUT, EHOSTUNREACH, ECONNRESET});
+  faults.fail(FaultyCall::send, 30, {EPIPE, ETIMEDOUT, EHOSTUNREACH});
+  for (int n = 1; n <= 80; ++n) {
+    try {
+      Client client(served.broker.address);
+      client.ask(1, "once", "SELECT a FROM sales_17.orders", {{"txn", ticket(n)}, {"limit", 3000}});
+      client.answer();
+    } catch (const std::exception&) {
+      // its own connection was one that broke
+    }
+  }
+  faults.stop(FaultyCall::receive);
+  faults.stop(FaultyCall::send);
+  EXPECT_GT(faults.injected(FaultyCall::receive), 5U);
+  for (int n = 1; n <= 80; ++n) {
+    const auto posted = [n](const Call& c) {
+      return c.method == "POST" && c.headers.at("X-Ticket") == ticket(n);
+    };
+    EXPECT_LE(served.engine.calls.count(posted), 1U) << n;
+  }
+  Client client(served.broker.address);
+  client.ask(1, "lookup", "SELECT a FROM sales_17.orders", {{"txn", ticket(99)}});
+  EXPECT_TRUE(client.answer().contains("result"));
+  served.broker.program->signal(SIGTERM);
+  EXPECT_EQ(served.broker.program->wait(), 0);
+  EXPECT_NE(served.broker.program->all_lines().back().find("counters: violations=0"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace bellstair::test
