--- a/tests/faults/accept_test.cpp
+++ b/tests/faults/accept_test.cpp
@@ -3,18 +3,11 @@
 
 #include "../net/harness.hpp"
 #include "faults.hpp"
+#include "requests.hpp"
 
 namespace bellstair::test {
 namespace {
 
-const std::string kSelect = "SELECT a FROM sales_17.orders";
-
-std::string ticket(int n) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(n));
-  return text;
-}
-
 // A broker with one engine that serves whatever it is asked.
 struct Served {
   explicit Served(const Faults& faults)
--- a/tests/faults/clock_test.cpp
+++ b/tests/faults/clock_test.cpp
@@ -3,18 +3,12 @@
 
 #include "../net/harness.hpp"
 #include "faults.hpp"
+#include "requests.hpp"
 
 namespace bellstair::test {
 namespace {
 
 using Clock = std::chrono::steady_clock;
-const std::string kSelect = "SELECT a FROM sales_17.orders";
-
-std::string ticket(int n) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(n));
-  return text;
-}
 std::int64_t unix_ms() {
   return std::chrono::duration_cast<std::chrono::milliseconds>(
              std::chrono::system_clock::now().time_since_epoch())
--- a/tests/faults/connect_test.cpp
+++ b/tests/faults/connect_test.cpp
@@ -3,18 +3,11 @@
 
 #include "../net/harness.hpp"
 #include "faults.hpp"
+#include "requests.hpp"
 
 namespace bellstair::test {
 namespace {
 
-const std::string kSelect = "SELECT a FROM sales_17.orders";
-
-std::string ticket(int n) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(n));
-  return text;
-}
-
 // An engine that closes each connection after one answer, so that each statement needs a new one.
 std::optional<std::string> answer_and_close(const Call&) {
   return http(200, "x\ty\tz\n", "Connection: close\r\nResult-Pages: 1\r\nQuery-Cost: 5\r\nQuery-Need: 8\r\n");
--- a/tests/faults/io_test.cpp
+++ b/tests/faults/io_test.cpp
@@ -3,16 +3,11 @@
 
 #include "../net/harness.hpp"
 #include "faults.hpp"
+#include "requests.hpp"
 
 namespace bellstair::test {
 namespace {
 
-std::string ticket(int n) {
-  char text[17];
-  std::snprintf(text, sizeof text, "%016x", static_cast<unsigned>(n));
-  return text;
-}
-
 struct Served {
   explicit Served(const Faults& faults)
       : broker({{"s-00000001", engine.server.address()}}, {}, 0, json::object(), json::object(),
@@ -33,7 +28,7 @@
   faults.shorten(FaultyCall::receive, 2);
   Client client(served.broker.address);
   for (int n = 1; n <= 60; ++n) {
-    client.ask(n, "once", "SELECT a FROM sales_17.orders", {{"txn", ticket(n)}});
+    client.ask(n, "once", kSelect, {{"txn", ticket(n)}});
     EXPECT_EQ(body(client.answer()), std::string(2000, 'x') + "\ty\tz\n");
   }
   EXPECT_EQ(served.engine.posts(), 60U);
@@ -48,7 +43,7 @@
   for (int n = 1; n <= 80; ++n) {
     try {
       Client client(served.broker.address);
-      client.ask(1, "once", "SELECT a FROM sales_17.orders", {{"txn", ticket(n)}, {"limit", 3000}});
+      client.ask(1, "once", kSelect, {{"txn", ticket(n)}, {"limit", 3000}});
       client.answer();
     } catch (const std::exception&) {
       // its own connection was one that broke
@@ -64,7 +59,7 @@
     EXPECT_LE(served.engine.calls.count(posted), 1U) << n;
   }
   Client client(served.broker.address);
-  client.ask(1, "lookup", "SELECT a FROM sales_17.orders", {{"txn", ticket(99)}});
+  client.ask(1, "lookup", kSelect, {{"txn", ticket(99)}});
   EXPECT_TRUE(client.answer().contains("result"));
   served.broker.program->signal(SIGTERM);
   EXPECT_EQ(served.broker.program->wait(), 0);
