--- a/tests/net/harness.hpp
+++ b/tests/net/harness.hpp
@@ -5,6 +5,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -373,6 +374,7 @@
     environ_of.push_back(nullptr);
     pid_ = ::fork();
     if (pid_ == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing is left behind by a test that is killed
       ::dup2(out[1], STDERR_FILENO);
       const rlimit most{files, files};
       if (files != 0) ::setrlimit(RLIMIT_NOFILE, &most);
