Read what has come before acting on it once the process has stood still

Seen: under SIGSTOP, as on a machine that is paused, the timers that ran out meanwhile fired first (libev calls the handlers of one turn in the reverse order, timers before sockets), while requests, their clients' ends, engines' answers and the change log's news still lay in the sockets. A new client's request was read and dropped as 'no whole request came', answers were asked for again, and a request that had lain unread for 0.8 s was told to its engine with its whole limit. Ruled out: the steady clock (it goes on under SIGSTOP, as it should); the module, which forgives its own absence.

What is due is now done before the loop sleeps, after the sockets of the same turn. StallWatch notices that the sockets were not looked at for over 55 ms: they are then looked at three times before anything is decided, the drivers' clocks are set first, and a client's time runs from the last look before the stall. Stalls are logged and counted; an answer that fell due in one is no violation. A connection with unread input is not dismissed for its silence.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -95,6 +95,7 @@
       hooks_turn_(loop),
       prepare_(loop),
       check_(loop),
+      look_at_once_(loop),
       term_(loop),
       interrupt_(loop),
       hangup_(loop),
@@ -131,6 +132,7 @@
   hooks_turn_.set<Broker, &Broker::on_hooks>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
   check_.set<Broker, &Broker::on_check>(this);
+  look_at_once_.set<Broker, &Broker::on_idle>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
@@ -150,7 +152,7 @@
   sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
-  if (!fronts_file_.empty()) check_.start();
+  check_.start();
   if (control_) control_->start();
   loop_.run(0);
 }
@@ -158,7 +160,15 @@
 // All spans run on it: a step of the system's clock must move none of them.
 core::Time Broker::now() const { return origin_ + monotonic_now(); }
 
-void Broker::on_tick(ev::timer&, int) {
+void Broker::post(core::Event event) {
+  if (auto* arrived = std::get_if<core::Arrived>(&event)) arrived->since = stall_watch_.came_after(now());
+  events_.push_back(std::move(event));
+}
+
+// What is due is done before the loop sleeps: what has come in the same turn is read first.
+void Broker::on_tick(ev::timer&, int) { tick_due_ = true; }
+
+void Broker::tick() {
   const auto now = this->now();
   engines_->tick(now);
   front_->tick(now);
@@ -175,7 +185,11 @@
 
 void Broker::on_call(ev::timer&, int) { post(core::Tick{unwritten()}); }
 
+// First in each turn of the loop, before any socket is read.
 void Broker::on_check(ev::check&, int) {
+  stall_watch_.looked(now());
+  wake();
+  if (fronts_file_.empty()) return;
   turn_begun_ = monotonic_now();
   turn_hooks_ = {};
 }
@@ -199,9 +213,33 @@
 
 void Broker::on_hangup(ev::sig&, int) { post(core::ReloadAsked{}); }
 
+// Spans that begin with what is read now begin now, not where the last tick was.
+void Broker::wake() {
+  const auto stall = stall_watch_.take_stall();
+  if (!stall) return;
+  const auto now = this->now();
+  engines_->wake(now);
+  front_->wake(now);
+  if (mysql_) mysql_->wake(now);
+  changelog_.wake(now);
+  post(core::Stalled{stall->since, stall->length});
+}
+
+// True: nothing may be decided before the sockets are looked at again, which the loop then does at once.
+bool Broker::look_again() {
+  const bool again = stall_watch_.look_again(now());
+  wake();
+  again ? look_at_once_.start() : look_at_once_.stop();
+  return again;
+}
+
+void Broker::on_idle(ev::idle&, int) {}
+
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
   do {
+    if (look_again()) return;
+    if (std::exchange(tick_due_, false)) tick();
     if (control_) control_->settle();
     pump();
     engines_->settle();
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -8,6 +8,7 @@
 #include <memory>
 
 #include "app/control_client.hpp"
+#include "app/stall_watch.hpp"
 #include "config/config.hpp"
 #include "config/document.hpp"
 #include "config/fronts.hpp"
@@ -39,7 +40,7 @@
   void run();  // until it has stopped
 
  private:
-  void post(core::Event event) { events_.push_back(std::move(event)); }
+  void post(core::Event event);
   void on_tick(ev::timer& timer, int events);
   void on_call(ev::timer& timer, int events);
   void on_prepare(ev::prepare& prepare, int events);
@@ -49,7 +50,11 @@
   void log_counters();
   void on_hooks(ev::timer& timer, int events);
   void on_check(ev::check& check, int events);
+  void on_idle(ev::idle& idle, int events);
   void pump();
+  void tick();
+  void wake();
+  [[nodiscard]] bool look_again();
   [[nodiscard]] core::Time now() const;
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
@@ -101,9 +106,11 @@
   platform::Peers peers_;
   ev::timer tick_, call_, hooks_turn_;
   ev::prepare prepare_;
-  // How long the loop was away from its sockets at the most, and hooks' part of it; measured beside hooks
-  // only.
+  // How long a turn of the loop was at the most, and hooks' part of it; measured beside hooks only.
   ev::check check_;
+  ev::idle look_at_once_;  // has the loop look at its sockets without a wait
+  StallWatch stall_watch_;
+  bool tick_due_ = false;
   core::Time turn_begun_{}, turn_hooks_{}, longest_turn_{}, longest_hooks_{};
   ev::sig term_, interrupt_, hangup_, counters_asked_;
   core::Counters counters_logged_;
--- /dev/null
+++ b/src/app/stall_watch.hpp
@@ -0,0 +1,75 @@
+// Notices that the process has not run for a while: it was stopped, its machine was paused, or a turn of the
+// loop took long.
+//
+// After a stall the timers that ran out meanwhile fire at once, while what has come meanwhile still lies in
+// the sockets: a client's request and its end, an engine's answer, a change of the fleet. A decision taken
+// then goes by a state that is out of date by the length of the stall. The loop therefore looks at its
+// sockets again, several times, before it acts; and a request read then may be as old as the last look
+// before.
+//
+// All times are those of one steady clock.
+#pragma once
+
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace bellstair::app {
+
+class StallWatch {
+ public:
+  using Time = std::chrono::nanoseconds;
+
+  // The longest time between two looks at the sockets that counts as usual: a tick of the loop, which wakes
+  // it where nothing else does, and a long turn.
+  static constexpr Time kUsual = std::chrono::milliseconds(55);
+  // Looks after a stall before anything is decided: what was accepted in the first is read in the second, and
+  // an end that follows what was read there in the third.
+  static constexpr int kLooks = 3;
+
+  struct Stall {
+    Time since{};   // the last look before it
+    Time length{};  // until it was noticed
+  };
+
+  // The loop has just looked at all sockets, and goes on to read them.
+  void looked(Time now) {
+    previous_ = last_ == Time::zero() ? now : last_;
+    last_ = now;
+    if (now - previous_ > kUsual) stalled(previous_, now);
+  }
+
+  // Whether the sockets have to be looked at again before anything is decided at `now`. Each call that says
+  // so counts as one of the looks.
+  [[nodiscard]] bool look_again(Time now) {
+    if (now - last_ > kUsual) stalled(previous_, now);
+    if (looks_left_ == 0) return false;
+    --looks_left_;
+    return true;
+  }
+
+  // The earliest moment at which what is read at `now` may have come.
+  [[nodiscard]] Time came_after(Time now) const {
+    if (now - previous_ > kUsual) return previous_;
+    return looks_left_ > 0 ? since_ : now;
+  }
+
+  // The stall noticed since the last call, once.
+  [[nodiscard]] std::optional<Stall> take_stall() { return std::exchange(noticed_, std::nullopt); }
+
+ private:
+  void stalled(Time since, Time now) {
+    if (looks_left_ == 0) {
+      since_ = since;
+      noticed_ = Stall{since, now - since};
+    }
+    looks_left_ = kLooks;
+  }
+
+  Time last_{}, previous_{};  // looks
+  Time since_{};              // the last look before the stall
+  int looks_left_ = 0;
+  std::optional<Stall> noticed_;
+};
+
+}  // namespace bellstair::app
--- a/src/core/counters.cpp
+++ b/src/core/counters.cpp
@@ -66,6 +66,7 @@
   add_all<Verdict>(out, "turned_down", turned_down);
   add_all<AttemptEnd>(out, "attempt", attempts);
   add_all<Verdict>(out, "withheld", withheld);
+  add(out, "stalls", stalls);
   return out;
 }
 
--- a/src/core/counters.hpp
+++ b/src/core/counters.hpp
@@ -23,6 +23,7 @@
 
 struct Counters {
   std::uint64_t taken = 0, cancelled = 0, half_closed = 0;
+  std::uint64_t stalls = 0;                            // the process did not run for a while
   std::array<std::uint64_t, kAnswerKinds> answered{};  // by AnswerKind
   std::array<std::uint64_t, kVerdicts> turned_down{};  // requests that were not taken, by Verdict
   std::array<std::uint64_t, kVerdicts> withheld{};     // attempts, by Verdict
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -78,6 +78,13 @@
 };
 struct Arrived {
   Submission asked;
+  // The earliest moment at which it may have come, of the core's clock; 0: when the event is heard. The
+  // client's time runs from there.
+  Time since{};
+};
+struct Stalled {  // the process did not run for a while
+  Time since{};   // its last look at its sockets before
+  Time length{};
 };
 struct Cancelled {  // the client has stopped waiting
   Client client = 0;
@@ -140,9 +147,10 @@
   bool unwritten = false;  // a front still has something to write, or a connection to close
 };
 
-using Event = std::variant<Listening, FleetChange, FleetQuiet, Arrived, Cancelled, HalfClosed, AttemptReady,
-                           AttemptHeard, AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked,
-                           ConfigurationRead, SettingsOffered, HookRan, HookRenewed, HooksTurn, Tick>;
+using Event =
+    std::variant<Listening, FleetChange, FleetQuiet, Arrived, Stalled, Cancelled, HalfClosed, AttemptReady,
+                 AttemptHeard, AttemptEnded, ProbeEnded, PeerHeard, StopAsked, ReloadAsked, ConfigurationRead,
+                 SettingsOffered, HookRan, HookRenewed, HooksTurn, Tick>;
 
 // ---- effects
 
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -217,8 +217,8 @@
   trace(id, "ticket ", asked.ticket, " is taken, class ", asked.cls, ", for ", asked.limit / 1ms, " ms");
   by_client_[asked.client] = id;
   auto& request = requests_[id];
-  request.since = now_;
-  request.deadline = now_ + asked.limit;
+  request.since = arrived.since == Time::zero() ? now_ : std::min(arrived.since, now_);
+  request.deadline = request.since + asked.limit;
   request.asked = std::move(asked);
   held_bytes_ += bytes;
   ++owed_;
@@ -242,6 +242,20 @@
   hand_over(id, request);
 }
 
+void Reducer::on(const Stalled& stalled) {
+  ++counters_.stalls;
+  stalled_ = stalled;
+  put(Log{"the process did not run for " + std::to_string(stalled.length / 1ms) + " ms",
+          log::Level::warning});
+}
+
+// An answer that fell due while the process did not run is late through no fault of the program's.
+bool Reducer::is_late(const Request& request) const {
+  const Time due = request.deadline + kLateAnswer;
+  const Time ran_again = stalled_.since + stalled_.length + kLateAnswer;
+  return now_ > due && !(stalled_.length > Time::zero() && due >= stalled_.since && now_ <= ran_again);
+}
+
 // ---- requests on their way through their hooks
 
 bool Reducer::in_line(const Submission& asked) const {
@@ -737,7 +751,7 @@
 void Reducer::answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
                      std::string shape) {
   if (request.answered) return violated(Violation::second_answer, id);
-  if (now_ > request.deadline + kLateAnswer) violated(Violation::late_answer, id);
+  if (is_late(request)) violated(Violation::late_answer, id);
   ++counters_.answered[static_cast<std::size_t>(kind)];
   trace(id, "is answered: ", name(kind), ", after ", (now_ - request.since) / 1ms, " ms");
   if (kind != AnswerKind::served) body = request.last_word;
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -83,6 +83,7 @@
   void on(FleetChange& change);
   void on(const FleetQuiet& quiet);
   void on(Arrived& arrived);
+  void on(const Stalled& stalled);
   void on(const Cancelled& cancelled);
   void on(const HalfClosed& half);
   void on(const AttemptReady& ready);
@@ -123,6 +124,7 @@
   void give_up(RequestId id, Request& request);
   void answer_unserved(RequestId id, Request& request);
   void withdraw_unsent(RequestId id, Request& request);
+  [[nodiscard]] bool is_late(const Request& request) const;
   [[nodiscard]] bool may_refuse(const Request& request) const;
   [[nodiscard]] Verdict may_send(AttemptId id, const Request& request) const;
   void violated(Violation violation, RequestId id);
@@ -166,7 +168,8 @@
   std::size_t owed_ = 0, most_bytes_, held_bytes_ = 0;
   bool fleet_told_ = false;
   StartClock starts_;
-  Time heard_{};  // the change log's last answer; 0: none yet
+  Stalled stalled_;  // the last one
+  Time heard_{};     // the change log's last answer; 0: none yet
   Time now_{}, called_{};
   Effects* out_ = nullptr;
 };
--- a/src/mysql/engines.cpp
+++ b/src/mysql/engines.cpp
@@ -122,6 +122,11 @@
   });
 }
 
+void Engines::wake(core::Time now) {
+  now_ = now;
+  pool_.wake(now);
+}
+
 void Engines::run(const core::StartAttempt& effect) {
   const auto id = effect.id;
   auto& attempt = attempts_[id];
--- a/src/mysql/engines.hpp
+++ b/src/mysql/engines.hpp
@@ -31,6 +31,7 @@
   void run(const core::EngineMoved& effect) override;
   void settle() override { pool_.settle(); }
   void tick(core::Time now) override;
+  void wake(core::Time now) override;
 
  private:
   using Connection = net::Pool::Connection;
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -109,6 +109,11 @@
   });
 }
 
+void Front::wake(core::Time now) {
+  now_ = now;
+  lingerer_.wake(now);
+}
+
 // One command at a time: what a client sends ahead stays where it is until the answer has gone out.
 void Front::take(Connection& connection) {
   if (connection.taking) return;
--- a/src/mysql/front.hpp
+++ b/src/mysql/front.hpp
@@ -39,6 +39,8 @@
   bool run(const core::Answer& answer);  // false: the client is not one of this front's
   void settle();
   void tick(core::Time now);
+  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read.
+  void wake(core::Time now);
   void finish();  // the program ends: every connection is closed once nothing on it is owed
   [[nodiscard]] bool unwritten() const;
 
--- a/src/net/driver.hpp
+++ b/src/net/driver.hpp
@@ -20,6 +20,8 @@
   virtual void run(const core::EngineMoved& effect) = 0;
   virtual void settle() = 0;  // once in each turn of the loop
   virtual void tick(core::Time now) = 0;
+  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read.
+  virtual void wake(core::Time now) = 0;
 };
 
 }  // namespace bellstair::net
--- a/src/net/lingerer.hpp
+++ b/src/net/lingerer.hpp
@@ -27,6 +27,7 @@
   void trim(std::size_t most);
   void settle() { gone_.clear(); }  // once in each turn of the loop
   void tick(core::Time now);
+  void wake(core::Time now) { now_ = now; }  // the clock alone: nothing falls due
   [[nodiscard]] std::size_t size() const { return leaving_.size(); }
 
  private:
--- a/src/net/pool.hpp
+++ b/src/net/pool.hpp
@@ -67,6 +67,7 @@
   // Moves on what waits, and lets go of what is over. Call it once in each turn of the loop.
   void settle();
   void tick(Time now);
+  void wake(Time now) { now_ = now; }  // the clock alone: nothing falls due
 
   [[nodiscard]] std::size_t size() const { return connections_.size(); }
 
--- a/src/platform/changelog.hpp
+++ b/src/platform/changelog.hpp
@@ -22,6 +22,8 @@
   ChangeLog(ev::loop_ref loop, std::string address, const config::Names& names, std::uint64_t since,
             std::uint64_t seed, Post post);
   void tick(core::Time now);
+  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read.
+  void wake(core::Time now) { now_ = now; }
   // Moves to another address at once, from the last whole event on.
   void follow(const std::string& address);
 
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -123,6 +123,11 @@
   patience_.advance(now, [this](std::uint64_t serial) { finish(serial, End::silent); });
 }
 
+void Engines::wake(core::Time now) {
+  now_ = now;
+  pool_.wake(now);
+}
+
 // ---- effects
 
 void Engines::run(const core::StartAttempt& effect) {
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -10,7 +10,8 @@
 // A client is owed an answer, an error or a close within 3 s: so long for a first request, and for any line
 // to come whole.
 constexpr core::Time kWhole = 2s;
-constexpr int kLooks = 8;  // connections looked at, to close one of them for room
+constexpr core::Time kLookAgain = 20ms;  // before a connection is looked at again whose input is not read yet
+constexpr int kLooks = 8;                // connections looked at, to close one of them for room
 }  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::Names& names, std::size_t most_connections,
@@ -108,6 +109,11 @@
   watches_.arm(until, connection.serial);
 }
 
+void Front::wake(core::Time now) {
+  now_ = now;
+  lingerer_.wake(now);
+}
+
 // Clients that say nothing, or never end what they say, hold what others need.
 void Front::tick(core::Time now) {
   now_ = now;
@@ -126,6 +132,8 @@
     if (connection.closing || connection.ended) return;
     if (connection.spoken && connection.in.empty()) return;
     if (now_ < connection.since + kWhole) return watch(connection, connection.since + kWhole);
+    // What has come and is not read yet may be the rest of it.
+    if (connection.stream.unread() == net::Stream::Unread::bytes) return watch(connection, now_ + kLookAgain);
     dismiss(connection, "no whole request came");
   });
 }
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -32,6 +32,8 @@
   bool run(const core::Answer& answer);
   void settle();
   void tick(core::Time now);
+  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read.
+  void wake(core::Time now);
   // The program ends: every connection is closed once nothing on it is owed.
   void finish();
   // True while something is to be written, or a client has still to read its last word.
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -356,6 +356,44 @@
   }
 }
 
+// What was read after a stall may have come when it began: the client's time runs from there.
+TEST(Reducer, ARequestsTimeRunsFromWhenItMayHaveCome) {
+  Driven d(settings());
+  d.at(0ms, FleetChange{true, {member(8)}, false});
+  d.at(0ms, FleetQuiet{true});
+  d.at(0ms, Stalled{d.now - 700ms, 700ms});
+  EXPECT_EQ(d.reducer.counters().stalls, 1U);
+  Arrived arrived;
+  arrived.asked.client = 1;
+  arrived.asked.limit = 1500ms;
+  arrived.since = d.now - 700ms;
+  d.at(0ms, arrived);
+  d.pass(50ms);
+  const auto started = d.all<StartAttempt>();
+  ASSERT_EQ(started.size(), 1U);
+  d.at(0ms, AttemptReady{started[0].id});
+  const auto sent = d.all<Transmit>();
+  ASSERT_EQ(sent.size(), 1U);
+  EXPECT_LE(sent[0].wait, 800ms);
+  d.pass(900ms);
+  EXPECT_EQ(d.all<Answer>().size(), 1U) << "its time is over";
+  EXPECT_EQ(d.reducer.counters().all_violations(), 0U);
+}
+
+// Whose time ran out in a stall is answered late through no fault of the program's; later on it is one.
+TEST(Reducer, AnAnswerThatFellDueInAStallIsNoViolation) {
+  for (const bool stalled : {true, false}) {
+    Driven d(settings());
+    d.at(0ms, FleetQuiet{true});
+    d.ask(1, 0, 500ms);
+    d.now += 2s;
+    if (stalled) d.at(0ms, Stalled{d.now - 2s, 2s});
+    d.at(0ms, Tick{});
+    EXPECT_EQ(d.all<Answer>().size(), 1U);
+    EXPECT_EQ(d.reducer.counters().all_violations(), stalled ? 0U : 1U);
+  }
+}
+
 // What is read while the program writes its last answers could not be finished: it was sent on, and lost.
 TEST(Reducer, WhatComesOnceTheProgramStopsIsRefusedAndNotBegun) {
   Driven d;
