--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -394,6 +394,30 @@
   }
 }
 
+// A wall clock that had stepped before the program's start made each engine known by then look warm, or as if
+// it were to begin in an hour. What does not need it: none is younger than a newer one.
+TEST(Reducer, AStartKnownBeforeIsTakenForRecentWhateverTheWallClockSays) {
+  for (const Time off : {Time(-1h), Time(-5s), Time(0s), Time(5s), Time(1h)}) {
+    auto s = settings();
+    s.gateways = 100'000;  // whose turns at a cold engine are rare
+    s.tip_multiple = 2.5;
+    s.tip_window = 1s;
+    s.cold_from = 0.4;
+    s.ramp_time = 10s;
+    for (const bool older : {false, true}) {
+      Driven d(s);
+      auto newest = member(8, older ? EngineState::draining : EngineState::ready), other = member(9);
+      newest.started = d.now - off - 200ms;
+      other.started = newest.started - 11s;
+      d.at(0ms, FleetChange{true, older ? std::vector{newest, other} : std::vector{newest}, false});
+      d.at(0ms, FleetQuiet{true});
+      d.pass(1s);
+      d.ask(1);
+      EXPECT_EQ(d.all<StartAttempt>().size(), older ? 1U : 0U) << "off by " << off / 1s << " s";
+    }
+  }
+}
+
 // What is read while the program writes its last answers could not be finished: it was sent on, and lost.
 TEST(Reducer, WhatComesOnceTheProgramStopsIsRefusedAndNotBegun) {
   Driven d;
