Hold slow start over restarts, and go by the order of starts that were known at the start

Cause one: StartClock read engines that were known when the program began by the wall clock, which may have stepped before; nothing but the order of starts is proof then. Cause two: the budget was counted by each process from nothing, so that a restart within a window spent it twice; a process sends nothing to a cold engine in its first window.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -195,7 +195,7 @@
  private:
   void start() {
     started_ = true;
-    sampled_ = ticked_ = told_ = now_;
+    began_ = sampled_ = ticked_ = told_ = now_;
     if (s_.ask_for_list) put(Observe{true});
     put(WakeAfter{kTick});
   }
@@ -450,10 +450,13 @@
   // under a part of the whole, a window apart at the least; none are saved up.
   bool cold_room(const Request& request, Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
+    if (in_first_window()) return false;
     const double work = cold_work(request), share = even_share(engine);
     if (work <= share) return engine.sent.within(now_, s_.tip_window) + work <= share;
     return now_ < engine.turn_until && work <= engine.turn_left;
   }
+  // What the process before this one has sent in the window that ends now is not known.
+  bool in_first_window() const { return now_ < began_ + s_.tip_window; }
   void charge(Engine& engine, double work) {
     if (!cold(engine)) return;
     work <= even_share(engine) ? engine.sent.add(now_, work) : void(engine.turn_left -= work);
@@ -472,6 +475,7 @@
   double lightest() const { return std::ranges::min_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
     sum_cores();
+    if (in_first_window()) return;
     for (auto* engine : ready_) {
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
       const double part = lightest() <= even_share(*engine) ? kSentPart - kEvenPart : kSentPart;
@@ -1172,6 +1176,7 @@
   double own_threads_ = 0, own_lately_ = 0, own_then_ = 0;  // over 5 s; 1.5 s; at the last message
   double scatter_ = 1;                                      // of reports, see kScatter
   double fleet_errors_ = 0;                                 // share of all engines' outcomes of late
+  Time began_{};                                            // the first call
   Time now_{}, called_{}, away_{}, sampled_{}, ticked_{}, told_{}, asked_again_{}, level_at_{}, peer_at_{};
   std::vector<Action>* out_ = nullptr;
 };
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -136,6 +136,9 @@
       return true;
     });
   }
+  for (const auto& member : change.members) {
+    if (!is_news(change.live)) starts_.note_known(member.started);
+  }
   for (auto& member : change.members) {
     member.entry.last_start = start_of(member, change.live);
     listing.engines.push_back(member.entry);
@@ -167,15 +170,17 @@
   on(FleetQuiet{});
 }
 
-// Kept once it is read: the same start, told again, must not look like another. What comes with the first
-// answer may be old news, as what was known is.
+// What comes with the first answer may be old news, as what was known is.
+bool Reducer::is_news(bool live) const { return live && heard_ != Time::zero(); }
+
+// Kept once it is read: the same start, told again, must not look like another.
 Time Reducer::start_of(const Member& member, bool live) {
   if (member.started == Time::zero()) return {};
   const auto known = members_.find(member.entry.engine);
   if (known != members_.end() && known->second.started == member.started)
     return known->second.entry.last_start;
-  return live && heard_ != Time::zero() ? starts_.of_news(member.started, now_, heard_)
-                                        : starts_.of_known(member.started, now_);
+  return is_news(live) ? starts_.of_news(member.started, now_, heard_)
+                       : starts_.of_known(member.started, now_);
 }
 
 void Reducer::read_starts_anew() {
@@ -183,7 +188,7 @@
   listing.kind = heronwell::ListKind::delta;
   for (auto& [id, member] : members_) {
     if (member.started == Time::zero()) continue;
-    member.entry.last_start = std::max(member.entry.last_start, starts_.of_known(member.started, now_));
+    member.entry.last_start = std::max(member.entry.last_start, starts_.read_anew(member.started, now_));
     listing.engines.push_back(member.entry);
   }
   put(Log{"a wall clock is off: starts of engines are read anew"});
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -130,6 +130,7 @@
   void violated(Violation violation, RequestId id);
   template <class... Parts>
   void trace(RequestId id, const Parts&... parts);
+  [[nodiscard]] bool is_news(bool live) const;
   [[nodiscard]] Time start_of(const Member& member, bool live);
   void read_starts_anew();
   void answer(RequestId id, Request& request, AnswerKind kind, Time pause, std::string body,
