Test a control node's store on a disk that fails, and want of memory in send, recv and epoll_ctl

With one sync in four failing, a writer told that version 1.4 was refused; after a restart a broker had it in force, and until then each further document failed with 'UNIQUE constraint failed'. With one call in five failing for want of memory, requests were lost or waited for their limits.

--- a/tests/faults/fault_library.cpp
+++ b/tests/faults/fault_library.cpp
@@ -125,6 +125,12 @@
   return fails(FaultyCall::wait) ? -1 : real(fd, events, most, timeout);
 }
 
+int epoll_ctl(int fd, int operation, int target, epoll_event* event) {
+  static const auto real = next<decltype(&epoll_ctl)>("epoll_ctl");
+  if (operation != EPOLL_CTL_DEL && fails(FaultyCall::control)) return -1;
+  return real(fd, operation, target, event);
+}
+
 int open(const char* path, int flags, ...) {
   static const auto real = next<int (*)(const char*, int, ...)>("open");
   mode_t mode = 0;
--- a/tests/faults/fault_plan.hpp
+++ b/tests/faults/fault_plan.hpp
@@ -17,12 +17,13 @@
   send,
   receive,
   wait,        // epoll_wait
+  control,     // epoll_ctl, other than to give up a descriptor
   open_null,   // open() of /dev/null
   write_file,  // write() to a regular file
   sync,        // fsync() and fdatasync()
   rename,
 };
-inline constexpr std::size_t kFaultyCalls = 10;
+inline constexpr std::size_t kFaultyCalls = 11;
 inline constexpr std::size_t kMostErrors = 8;
 
 // How one system call fails. Zero everywhere: it never does.
--- a/tests/faults/io_test.cpp
+++ b/tests/faults/io_test.cpp
@@ -34,6 +34,33 @@
   EXPECT_EQ(served.engine.posts(), 60U);
 }
 
+// Want of memory passes. A loop that could not watch a socket would not hear of it again.
+TEST(IoFaults, WantOfMemoryBreaksNoConnection) {
+  struct Want {
+    FaultyCall call;
+    std::initializer_list<int> errors;
+  };
+  for (const auto& want : {Want{FaultyCall::send, {ENOBUFS, ENOMEM}}, Want{FaultyCall::receive, {ENOMEM}},
+                           Want{FaultyCall::control, {ENOMEM, ENOSPC}}}) {
+    Faults faults;
+    Served served(faults);
+    faults.fail(want.call, 5, want.errors);
+    for (int n = 1; n <= 30; ++n) {
+      const auto from = std::chrono::steady_clock::now();
+      Client client(served.broker.address);
+      for (int id = 1; id <= 2; ++id) {
+        client.ask(id, "once", kSelect, {{"txn", ticket(2 * n + id)}, {"limit", 5000}});
+        EXPECT_TRUE(client.answer().contains("result"))
+            << n << ", calls of kind " << static_cast<int>(want.call);
+      }
+      EXPECT_LT(std::chrono::steady_clock::now() - from, 1s)
+          << "calls of kind " << static_cast<int>(want.call);
+    }
+    EXPECT_GT(faults.injected(want.call), 10U);
+    EXPECT_EQ(served.engine.posts(), 60U);
+  }
+}
+
 // Whoever's connection breaks, no statement that is unsafe to repeat runs twice, and the program goes on.
 TEST(IoFaults, AConnectionThatBreaksRepeatsNothingThatMayHaveRun) {
   Faults faults;
--- a/tests/processes/fleet.hpp
+++ b/tests/processes/fleet.hpp
@@ -20,7 +20,8 @@
   bool last = false;        // brokers keep the version in force in a file
   std::string more;         // of each broker's operator's file
   std::string classes = R"(["lookup", "load", "once"])";
-  std::map<std::string, std::string> environment;  // of the brokers
+  std::map<std::string, std::string> environment;       // of the brokers
+  std::map<std::string, std::string> node_environment;  // of the control nodes
 };
 
 class Fleet {
@@ -92,8 +93,8 @@
   // ---- processes
   void start(const std::string& node) {
     auto& it = nodes_.at(node);
-    it.program =
-        std::make_unique<Program>(std::vector<std::string>{"control", path(node + ".hcl"), "--node", node});
+    it.program = std::make_unique<Program>(
+        std::vector<std::string>{"control", path(node + ".hcl"), "--node", node}, options_.node_environment);
   }
   void start(std::size_t broker) {
     auto& it = brokers_.at(broker);
