Take back a version whose commit failed halfway before another is kept

SQLite's commit fails after its point of no return when the folder cannot be synced: the row is in the file, while the node went by what it had in memory. It told that the version was refused, took the same number again (UNIQUE constraint failed, for good), and handed the refused version out after a restart. Ruled out: the node's decisions, which heed the store's word. After a failed commit what lies above the newest version acknowledged is deleted, and again within the next transaction; if not even that can be done, the operator is told so.

--- a/src/control/store.cpp
+++ b/src/control/store.cpp
@@ -211,6 +211,7 @@
     return path_ + ": version " + to_text(version.place) + " is not above " + to_text(stored_.newest->place);
   try {
     transact(base_.get(), [&] {
+      drop_unacknowledged();
       Statement(base_.get(), "INSERT INTO versions VALUES (?, ?, ?, ?, ?)")
           .bind(version.place.epoch)
           .bind(version.place.number)
@@ -225,12 +226,32 @@
           .step();
     });
   } catch (const Failed& failed) {
-    return path_ + ": " + failed.what();
+    return path_ + ": " + failed.what() + undo_doubtful_commit();
   }
   stored_.newest = version;
   return {};
 }
 
+// Versions whose commit failed after its point of no return, as when the folder could not be synced: they are
+// in the file, and nobody was told that they were kept. To be called within a transaction.
+void Store::drop_unacknowledged() {
+  const auto newest = stored_.newest ? stored_.newest->place : Place{};
+  Statement(base_.get(), "DELETE FROM versions WHERE (epoch, number) > (?, ?)")
+      .bind(newest.epoch)
+      .bind(newest.number)
+      .step();
+}
+
+// What is to be said of it beside the commit's own failure: nothing, where the file is as it was.
+std::string Store::undo_doubtful_commit() {
+  try {
+    transact(base_.get(), [&] { drop_unacknowledged(); });
+    return {};
+  } catch (const Failed& failed) {
+    return std::string("; it may be there after a restart, unless another is kept before: ") + failed.what();
+  }
+}
+
 std::string Store::keep(const Reign& reign) {
   if (reign.epoch <= stored_.reign.epoch)
     return path_ + ": epoch " + std::to_string(reign.epoch) + " is not above " +
--- a/src/control/store.hpp
+++ b/src/control/store.hpp
@@ -34,7 +34,8 @@
   Store& operator=(Store&&) noexcept;
 
   [[nodiscard]] const Stored& stored() const { return stored_; }
-  // On the disk when they return without a problem; with one, nothing has changed.
+  // On the disk when they return without a problem; with one, nothing has changed, unless the problem says
+  // that not even this could be told.
   [[nodiscard]] std::string keep(const Version& version);  // above all that are kept
   [[nodiscard]] std::string keep(const Reign& reign);      // newer than the one kept
   [[nodiscard]] std::size_t versions() const;
@@ -47,6 +48,8 @@
   [[nodiscard]] static Base open(const std::string& path, bool make);
   static void make(const std::string& path, const std::string& fleet);
   void check(const std::string& fleet);
+  void drop_unacknowledged();
+  [[nodiscard]] std::string undo_doubtful_commit();
 
   std::string path_;
   std::size_t most_versions_;
