Watch a descriptor again after the system lacked memory for it

libev stops a watcher for good when epoll_ctl fails, and says so once: streams did not heed it and waited for their owners' limits, and the socket of the peers' datagrams was never read again. ENOBUFS and ENOMEM of send and recv closed the connection, which lost a request that was sent well. Ruled out: the listener, which had its own remedy. IoWatch holds the remedy for all three: a pause of 10 ms, then the descriptor is watched again.

--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -9,8 +9,7 @@
 
 namespace bellstair::net {
 namespace {
-constexpr int kMostInATurn = 64;        // connections accepted in one turn of the loop
-constexpr double kPauseSeconds = 0.01;  // before the system is asked again that had no room
+constexpr int kMostInATurn = 64;  // connections accepted in one turn of the loop
 }  // namespace
 
 AcceptError classify_accept_error(int error) {
@@ -40,23 +39,20 @@
 
 Listener::Listener(ev::loop_ref loop, Fd fd, Accepted accepted, FreeDescriptor free_descriptor)
     : io_(loop),
-      resume_(loop),
       fd_(std::move(fd)),
       accepted_(std::move(accepted)),
       free_descriptor_(std::move(free_descriptor)) {
   open_reserve();
   io_.set<Listener, &Listener::on_io>(this);
-  resume_.set<Listener, &Listener::on_resume>(this);
-  io_.start(fd_.get(), ev::READ);
+  io_.watch(fd_.get(), ev::READ);
 }
 
 void Listener::open_reserve() {
   if (!reserve_) reserve_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
 }
 
-void Listener::on_io(ev::io&, int events) {
-  // The loop could not watch the socket, and has given it up: it is tried again.
-  if ((events & ev::ERROR) != 0) return pause();
+void Listener::on_io(int) {
+  open_reserve();
   for (int i = 0; i < kMostInATurn; ++i) {
     if (!accept_one()) return;
   }
@@ -82,7 +78,7 @@
     case AcceptError::system_limit:
       break;
   }
-  pause();
+  io_.pause();  // the loop reports a waiting connection in each of its turns
   return false;
 }
 
@@ -94,15 +90,4 @@
   return came;
 }
 
-// The loop reports a waiting connection in each of its turns: without a pause it would go round for nothing.
-void Listener::pause() {
-  io_.stop();
-  resume_.start(kPauseSeconds, 0);
-}
-
-void Listener::on_resume(ev::timer&, int) {
-  open_reserve();
-  io_.start(fd_.get(), ev::READ);
-}
-
 }  // namespace bellstair::net
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 
+#include "net/io_watch.hpp"
 #include "net/socket.hpp"
 
 namespace bellstair::net {
@@ -32,15 +33,12 @@
   Listener& operator=(const Listener&) = delete;
 
  private:
-  void on_io(ev::io& watcher, int events);
-  void on_resume(ev::timer& timer, int events);
+  void on_io(int events);
   [[nodiscard]] bool accept_one();  // false: no more in this turn of the loop
   [[nodiscard]] bool turn_away();   // false: not possible now
-  void pause();
   void open_reserve();
 
-  ev::io io_;
-  ev::timer resume_;
+  IoWatch io_;
   Fd fd_, reserve_;
   Accepted accepted_;
   FreeDescriptor free_descriptor_;
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -8,6 +8,9 @@
 namespace bellstair::net {
 namespace {
 constexpr int kReads = 4;  // buffers read from one stream in a turn of the loop
+// Errors of a moment's, after which the connection is as it was.
+bool lacks_memory(int error) { return error == ENOBUFS || error == ENOMEM; }
+bool try_later(int error) { return error == EAGAIN || error == EINTR || lacks_memory(error); }
 }  // namespace
 
 Stream::Stream(ev::loop_ref loop, Fd fd, bool dialling, std::size_t most_unwritten)
@@ -20,25 +23,21 @@
   int events = 0;
   if (!dialling_ && !paused_ && !ended_ && !failed_) events |= ev::READ;
   if (dialling_ || unwritten() > 0 || failed_) events |= ev::WRITE;
-  if (events == 0) {
-    io_.stop();
-  } else if (!io_.is_active()) {
-    io_.start(fd_.get(), events);
-  } else if (io_.events != events) {
-    io_.set(events);
-  }
+  io_.watch(fd_.get(), events);
 }
 
 bool Stream::write(std::string_view bytes) {
   if (!fd_ || failed_) return false;
   if (unwritten() == 0 && !dialling_) {
     const auto sent = ::send(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-    if (sent < 0 && errno != EAGAIN && errno != EINTR) {
+    const int error = sent < 0 ? errno : 0;
+    if (sent < 0 && !try_later(error)) {
       failed_ = true;  // told from the loop, since the caller is in the middle of something
-      error_ = errno;
+      error_ = error;
       watch();
       return false;
     }
+    if (lacks_memory(error)) io_.pause();
     if (sent > 0) {
       written_ += static_cast<std::size_t>(sent);
       bytes.remove_prefix(static_cast<std::size_t>(sent));
@@ -91,7 +90,7 @@
   char byte = 0;
   const auto got = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
   if (got > 0) return Unread::bytes;
-  return got < 0 && (errno == EAGAIN || errno == EINTR) ? Unread::nothing : Unread::end;
+  return got < 0 && try_later(errno) ? Unread::nothing : Unread::end;
 }
 
 void Stream::fail(int error) {
@@ -104,7 +103,7 @@
   }
 }
 
-void Stream::on_io(ev::io&, int events) {
+void Stream::on_io(int events) {
   if (failed_) return fail(error_);
   if (dialling_) {
     if (const int error = connect_error(fd_.get()); error != 0) return fail(error);
@@ -134,8 +133,11 @@
     if (handlers_.data) handlers_.data({buffer.data(), static_cast<std::size_t>(got)});
     if (!*alive || !fd_ || paused_ || static_cast<std::size_t>(got) < buffer.size()) return;
   }
-  if (got > 0 || (got < 0 && (errno == EAGAIN || errno == EINTR))) return;
-  if (got < 0) return fail(errno);
+  if (got > 0) return;
+  if (got < 0) {
+    if (lacks_memory(errno)) return io_.pause();
+    return try_later(errno) ? void() : fail(errno);
+  }
   ended_ = true;
   watch();
   if (handlers_.ended) handlers_.ended();
@@ -145,8 +147,10 @@
   while (unwritten() > 0) {
     const auto sent = ::send(fd_.get(), out_.data() + out_at_, unwritten(), MSG_NOSIGNAL);
     if (sent < 0) {
-      if (errno == EAGAIN || errno == EINTR) break;
-      return fail(errno);
+      const int error = errno;
+      if (!try_later(error)) return fail(error);
+      if (lacks_memory(error)) io_.pause();
+      break;
     }
     out_at_ += static_cast<std::size_t>(sent);
     written_ += static_cast<std::size_t>(sent);
--- a/src/net/stream.hpp
+++ b/src/net/stream.hpp
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 
+#include "net/io_watch.hpp"
 #include "net/socket.hpp"
 
 namespace bellstair::net {
@@ -64,12 +65,12 @@
   [[nodiscard]] bool reset() const { return fd_ && connect_error(fd_.get()) != 0; }
 
  private:
-  void on_io(ev::io& watcher, int events);
+  void on_io(int events);
   void read();
   void flush();
   void fail(int error);
 
-  ev::io io_;
+  IoWatch io_;
   Fd fd_;
   int error_ = 0;
   bool dialling_, paused_ = false, ended_ = false, failed_ = false, finishing_ = false;
--- a/src/platform/peers.cpp
+++ b/src/platform/peers.cpp
@@ -32,7 +32,7 @@
     return;
   }
   io_.set<Peers, &Peers::on_io>(this);
-  io_.start(fd_.get(), ev::READ);
+  io_.watch(fd_.get(), ev::READ);
 }
 
 void Peers::run(const core::TellPeers& effect) {
@@ -48,7 +48,7 @@
   }
 }
 
-void Peers::on_io(ev::io&, int) {
+void Peers::on_io(int) {
   std::array<char, kMostBytes + 1> buffer{};
   for (int i = 0; i < 64; ++i) {
     sockaddr_in from{};
--- a/src/platform/peers.hpp
+++ b/src/platform/peers.hpp
@@ -9,6 +9,7 @@
 
 #include "config/config.hpp"
 #include "core/events.hpp"
+#include "net/io_watch.hpp"
 #include "net/socket.hpp"
 
 namespace bellstair::platform {
@@ -20,8 +21,8 @@
   void run(const core::TellPeers& effect);
 
  private:
-  void on_io(ev::io& watcher, int events);
-  ev::io io_;
+  void on_io(int events);
+  net::IoWatch io_;
   net::Fd fd_;
   std::vector<sockaddr_in> peers_;
   std::unordered_map<std::uint64_t, std::uint32_t> numbers_;  // of the others, by address and port
