--- a/tests/faults/accept_test.cpp
+++ b/tests/faults/accept_test.cpp
@@ -47,6 +47,20 @@
   EXPECT_EQ(lost, 0);
 }
 
+// A request may lie in the system's buffer before its connection can be accepted.
+TEST(AcceptFaults, WhatWaitedToBeAcceptedHasThatMuchLessTime) {
+  Faults faults;
+  Served served(faults);
+  faults.fail(FaultyCall::accept, 1, {ENFILE});
+  Client client(served.broker.address);
+  client.ask(1, "lookup", kSelect, {{"limit", 2000}});
+  std::this_thread::sleep_for(800ms);
+  faults.stop(FaultyCall::accept);
+  EXPECT_TRUE(client.answer().contains("result"));
+  const auto call = served.engine.calls.wait([](const Call& c) { return c.method == "POST"; });
+  EXPECT_LE(std::stoi(call.headers.at("X-Max-Ms")), 1200 + 150);
+}
+
 // While the system has no descriptor for anybody, connections wait for one, and the loop does not spin.
 TEST(AcceptFaults, WhileTheSystemIsOutOfDescriptorsConnectionsWait) {
   Faults faults;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,6 +7,8 @@
 #include <functional>
 #include <iostream>
 #include <random>
+#include <set>
+#include <sstream>
 
 #include "../faults/faults.hpp"
 #include "../processes/process.hpp"
@@ -74,6 +76,7 @@
   std::uint64_t seed = 1;
   double seconds = 20;
   std::size_t brokers = 8, engines = 12, clients = 10;
+  std::set<std::string> troubles;  // those to be made; none: all
 };
 
 class Soak {
@@ -202,14 +205,30 @@
   }
 
   // ---- troubles
+  struct Trouble {
+    const char* name;
+    void (Soak::*make)();
+  };
   void make_trouble() {
-    using Trouble = void (Soak::*)();
-    static constexpr Trouble kTroubles[] = {
-        &Soak::restart_broker,  &Soak::kill_broker, &Soak::reload,      &Soak::replace_engine,
-        &Soak::drain_engine,    &Soak::stop_engine, &Soak::reset_links, &Soak::cut_link,
-        &Soak::cut_change_log,  &Soak::step_clock,  &Soak::fail_calls,  &Soak::fail_calls,
-        &Soak::hold_change_log, &Soak::stall_broker};
-    (this->*kTroubles[draw(std::size(kTroubles))])();
+    static const Trouble kTroubles[] = {{"restart", &Soak::restart_broker},
+                                        {"kill", &Soak::kill_broker},
+                                        {"reload", &Soak::reload},
+                                        {"replace", &Soak::replace_engine},
+                                        {"drain", &Soak::drain_engine},
+                                        {"hang", &Soak::stop_engine},
+                                        {"reset", &Soak::reset_links},
+                                        {"cut", &Soak::cut_link},
+                                        {"cut-log", &Soak::cut_change_log},
+                                        {"clock", &Soak::step_clock},
+                                        {"calls", &Soak::fail_calls},
+                                        {"calls", &Soak::fail_calls},
+                                        {"hold-log", &Soak::hold_change_log},
+                                        {"stall", &Soak::stall_broker}};
+    std::vector<const Trouble*> wanted;
+    for (const auto& trouble : kTroubles) {
+      if (options_.troubles.empty() || options_.troubles.contains(trouble.name)) wanted.push_back(&trouble);
+    }
+    if (!wanted.empty()) (this->*wanted[draw(wanted.size())]->make)();
   }
   Broker* any_broker() {
     auto& broker = *brokers_[draw(brokers_.size())];
@@ -439,7 +458,8 @@
 };
 
 int usage() {
-  std::cerr << "usage: soak [--seed N] [--seconds S] [--brokers B] [--engines E] [--clients C]\n";
+  std::cerr << "usage: soak [--seed N] [--seconds S] [--brokers B] [--engines E] [--clients C]"
+               " [--troubles NAME,NAME]\n";
   return 2;
 }
 
@@ -458,6 +478,9 @@
       options.engines = std::stoul(value);
     } else if (arguments[i] == "--clients") {
       options.clients = std::stoul(value);
+    } else if (arguments[i] == "--troubles") {
+      std::istringstream names(value);
+      for (std::string name; std::getline(names, name, ',');) options.troubles.insert(name);
     } else {
       return usage();
     }
