Take off a request's time what it waited to be accepted, and look for longer after a stall

Cause one: while accept() fails, requests lie in the sockets of connections that nobody knows of yet; the listener now tells for how long it could not accept. Cause two: a look at the sockets that a signal interrupts has seen nothing, and counted; SIGCONT itself interrupts one. After a stall the loop looks four times and for two ticks, asleep in between. Ruled out: the reading of streams, which goes on at the next turn.

--- a/benchmarks/scale/stand_ins.cpp
+++ b/benchmarks/scale/stand_ins.cpp
@@ -57,7 +57,8 @@
     if (!fd) throw std::runtime_error("cannot listen on " + host + ": " + std::strerror(errno));
     const auto address = net::local_address(fd.get());
     listeners_.push_back(std::make_unique<net::Listener>(
-        loop_, std::move(fd), [this, database](net::Fd got) { accept(std::move(got), database); }));
+        loop_, std::move(fd),
+        [this, database](net::Fd got, net::Time) { accept(std::move(got), database); }));
     return static_cast<unsigned>(std::stoul(address.substr(address.rfind(':') + 1)));
   }
   void accept(net::Fd fd, unsigned database) {
--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -6,13 +6,14 @@
 
 #include "log/log.hpp"
 #include "mysql/engines.hpp"
+#include "net/steady_clock.hpp"
 #include "platform/engines.hpp"
 
 namespace bellstair::app {
 namespace {
 using namespace std::chrono_literals;
+using net::steady_now;
 
-core::Time monotonic_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
 core::Time unix_now() { return std::chrono::system_clock::now().time_since_epoch(); }
 
 double seconds(core::Time time) { return std::chrono::duration<double>(time).count(); }
@@ -84,7 +85,7 @@
       config_(std::move(config)),
       start_{config_.settings, config_.names, config_.changelog},
       fronts_(std::move(fronts)),
-      origin_(unix_now() - monotonic_now()),
+      origin_(unix_now() - steady_now()),
       reducer_(config_.settings, config_.seed, (config_.memory_mb << 20) / 4, loaded.set, config_.changelog),
       runner_(loop, words_of(config_), poster()),
       engines_(make_engines()),
@@ -95,7 +96,6 @@
       hooks_turn_(loop),
       prepare_(loop),
       check_(loop),
-      look_at_once_(loop),
       term_(loop),
       interrupt_(loop),
       hangup_(loop),
@@ -132,7 +132,6 @@
   hooks_turn_.set<Broker, &Broker::on_hooks>(this);
   prepare_.set<Broker, &Broker::on_prepare>(this);
   check_.set<Broker, &Broker::on_check>(this);
-  look_at_once_.set<Broker, &Broker::on_idle>(this);
   term_.set<Broker, &Broker::on_signal>(this);
   interrupt_.set<Broker, &Broker::on_signal>(this);
   hangup_.set<Broker, &Broker::on_hangup>(this);
@@ -158,10 +157,13 @@
 }
 
 // All spans run on it: a step of the system's clock must move none of them.
-core::Time Broker::now() const { return origin_ + monotonic_now(); }
+core::Time Broker::now() const { return origin_ + steady_now(); }
 
 void Broker::post(core::Event event) {
-  if (auto* arrived = std::get_if<core::Arrived>(&event)) arrived->since = stall_watch_.came_after(now());
+  if (auto* arrived = std::get_if<core::Arrived>(&event)) {
+    const auto came = stall_watch_.came_after(now());
+    arrived->since = arrived->since == core::Time::zero() ? came : std::min(arrived->since, came);
+  }
   events_.push_back(std::move(event));
 }
 
@@ -190,14 +192,14 @@
   stall_watch_.looked(now());
   wake();
   if (fronts_file_.empty()) return;
-  turn_begun_ = monotonic_now();
+  turn_begun_ = steady_now();
   turn_hooks_ = {};
 }
 
 void Broker::run(core::RunHook& effect) {
-  const auto from = monotonic_now();
+  const auto from = steady_now();
   runner_.run(effect);
-  turn_hooks_ += monotonic_now() - from;
+  turn_hooks_ += steady_now() - from;
 }
 
 void Broker::on_hooks(ev::timer&, int) { post(core::HooksTurn{}); }
@@ -225,16 +227,13 @@
   post(core::Stalled{stall->since, stall->length});
 }
 
-// True: nothing may be decided before the sockets are looked at again, which the loop then does at once.
+// True: nothing may be decided before the sockets are looked at again, with the next tick at the latest.
 bool Broker::look_again() {
   const bool again = stall_watch_.look_again(now());
   wake();
-  again ? look_at_once_.start() : look_at_once_.stop();
   return again;
 }
 
-void Broker::on_idle(ev::idle&, int) {}
-
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
   do {
@@ -247,7 +246,7 @@
     if (mysql_) mysql_->settle();
   } while (!events_.empty());
   if (turn_begun_ != core::Time::zero()) {
-    longest_turn_ = std::max(longest_turn_, monotonic_now() - turn_begun_);
+    longest_turn_ = std::max(longest_turn_, steady_now() - turn_begun_);
     longest_hooks_ = std::max(longest_hooks_, turn_hooks_);
   }
   // What hooks have still to do waits for the next turn, after the sockets.
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -50,7 +50,6 @@
   void log_counters();
   void on_hooks(ev::timer& timer, int events);
   void on_check(ev::check& check, int events);
-  void on_idle(ev::idle& idle, int events);
   void pump();
   void tick();
   void wake();
@@ -108,7 +107,6 @@
   ev::prepare prepare_;
   // How long a turn of the loop was at the most, and hooks' part of it; measured beside hooks only.
   ev::check check_;
-  ev::idle look_at_once_;  // has the loop look at its sockets without a wait
   StallWatch stall_watch_;
   bool tick_due_ = false;
   core::Time turn_begun_{}, turn_hooks_{}, longest_turn_{}, longest_hooks_{};
--- a/src/app/control_node.cpp
+++ b/src/app/control_node.cpp
@@ -14,6 +14,7 @@
 #include "hcl/value.hpp"
 #include "log/log.hpp"
 #include "net/socket.hpp"
+#include "net/steady_clock.hpp"
 
 namespace bellstair::app {
 namespace {
@@ -26,7 +27,7 @@
 // A version under way to a peer that is slow, its answers, and room for a status.
 constexpr std::size_t kMostUnwritten = 2 * control::kMostMessage;
 
-core::Time steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
+using net::steady_now;
 
 // Peers at once, by the descriptors that the system allows: all of them are asked for.
 std::size_t most_peers() {
--- a/src/app/stall_watch.hpp
+++ b/src/app/stall_watch.hpp
@@ -23,9 +23,12 @@
   // The longest time between two looks at the sockets that counts as usual: a tick of the loop, which wakes
   // it where nothing else does, and a long turn.
   static constexpr Time kUsual = std::chrono::milliseconds(55);
-  // Looks after a stall before anything is decided: what was accepted in the first is read in the second, and
-  // an end that follows what was read there in the third.
-  static constexpr int kLooks = 3;
+  // After a stall nothing is decided before so many looks: what was accepted in the first is read in the
+  // second, and an end that follows what was read there in the third.
+  static constexpr int kLooks = 4;
+  // Nor sooner than this: a look that a signal interrupts, as one does that goes on after a stop, comes back
+  // at once and has seen nothing. Two ticks hold a whole look each.
+  static constexpr Time kSettle = std::chrono::milliseconds(11);
 
   struct Stall {
     Time since{};   // the last look before it
@@ -37,21 +40,20 @@
     previous_ = last_ == Time::zero() ? now : last_;
     last_ = now;
     if (now - previous_ > kUsual) stalled(previous_, now);
+    ++looks_;
   }
 
-  // Whether the sockets have to be looked at again before anything is decided at `now`. Each call that says
-  // so counts as one of the looks.
+  // Whether the sockets have to be looked at again before anything is decided at `now`.
   [[nodiscard]] bool look_again(Time now) {
     if (now - last_ > kUsual) stalled(previous_, now);
-    if (looks_left_ == 0) return false;
-    --looks_left_;
-    return true;
+    if (settling_ && looks_ >= kLooks && now >= noticed_at_ + kSettle) settling_ = false;
+    return settling_;
   }
 
   // The earliest moment at which what is read at `now` may have come.
   [[nodiscard]] Time came_after(Time now) const {
-    if (now - previous_ > kUsual) return previous_;
-    return looks_left_ > 0 ? since_ : now;
+    if (settling_) return since_;
+    return now - previous_ > kUsual ? previous_ : now;
   }
 
   // The stall noticed since the last call, once.
@@ -59,16 +61,19 @@
 
  private:
   void stalled(Time since, Time now) {
-    if (looks_left_ == 0) {
+    if (!std::exchange(settling_, true)) {
       since_ = since;
       noticed_ = Stall{since, now - since};
     }
-    looks_left_ = kLooks;
+    noticed_at_ = now;
+    looks_ = 0;
   }
 
   Time last_{}, previous_{};  // looks
   Time since_{};              // the last look before the stall
-  int looks_left_ = 0;
+  Time noticed_at_{};
+  int looks_ = 0;  // since then
+  bool settling_ = false;
   std::optional<Stall> noticed_;
 };
 
--- a/src/link/hub.cpp
+++ b/src/link/hub.cpp
@@ -18,8 +18,8 @@
       lingerer_(loop) {}
 
 void Hub::listen(net::Fd fd) {
-  listener_ =
-      std::make_unique<net::Listener>(loop_, std::move(fd), [this](net::Fd got) { accept(std::move(got)); });
+  listener_ = std::make_unique<net::Listener>(loop_, std::move(fd),
+                                              [this](net::Fd got, net::Time) { accept(std::move(got)); });
 }
 
 void Hub::accept(net::Fd fd) {
--- a/src/mysql/front.cpp
+++ b/src/mysql/front.cpp
@@ -50,7 +50,7 @@
       handles_(handles),
       tickets_(seed),
       post_(std::move(post)),
-      listener_(loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); }),
+      listener_(loop, std::move(listening), [this](net::Fd fd, net::Time) { accept(std::move(fd)); }),
       lingerer_(loop) {}
 
 void Front::accept(net::Fd fd) {
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -63,11 +63,12 @@
   if (fd) {
     const int on = 1;
     ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
-    accepted_(std::move(fd));
+    accepted_(std::move(fd), failing_since_ ? steady_now() - *failing_since_ : Time::zero());
     return true;
   }
   switch (classify_accept_error(errno)) {
     case AcceptError::none_waiting:
+      failing_since_.reset();
       return false;
     case AcceptError::this_connection:
       return true;
@@ -78,6 +79,7 @@
     case AcceptError::system_limit:
       break;
   }
+  if (!failing_since_) failing_since_ = steady_now();
   io_.pause();  // the loop reports a waiting connection in each of its turns
   return false;
 }
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -4,9 +4,11 @@
 #include <ev++.h>
 
 #include <functional>
+#include <optional>
 
 #include "net/io_watch.hpp"
 #include "net/socket.hpp"
+#include "net/steady_clock.hpp"
 
 namespace bellstair::net {
 
@@ -24,7 +26,9 @@
 // turned away, by way of a descriptor kept in reserve: left waiting, its client would get no word at all.
 class Listener {
  public:
-  using Accepted = std::function<void(Fd)>;
+  // `waited`: how long the connection may have waited, with what its peer has sent meanwhile, since the
+  // system did not let it be accepted.
+  using Accepted = std::function<void(Fd, Time waited)>;
   // True: a descriptor has been freed.
   using FreeDescriptor = std::function<bool()>;
 
@@ -40,6 +44,7 @@
 
   IoWatch io_;
   Fd fd_, reserve_;
+  std::optional<Time> failing_since_;  // accept() has failed, and not told since that nobody waits
   Accepted accepted_;
   FreeDescriptor free_descriptor_;
 };
--- a/src/platform/engines.cpp
+++ b/src/platform/engines.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "net/steady_clock.hpp"
 #include "sql/value.hpp"
 
 namespace bellstair::platform {
@@ -10,6 +11,7 @@
 using namespace std::chrono_literals;
 using core::AttemptEnd;
 using core::AttemptId;
+using net::steady_now;  // that of ticks may lie a turn back
 
 constexpr std::size_t kMostBody = std::size_t{64} * 1024;  // of any answer
 constexpr std::size_t kMostPage = 6000;
@@ -30,9 +32,6 @@
 // their way.
 constexpr core::Time kOrphanLife = 2000ms + 250ms + 50ms;
 
-// Spans of time only: the system's clock may be set meanwhile, and that of ticks may lie a turn back.
-core::Time steady_now() { return std::chrono::steady_clock::now().time_since_epoch(); }
-
 struct HttpSession : net::Session {
   HttpReader reader{kMostBody};
 };
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -23,7 +23,7 @@
       green_(std::move(green)),
       post_(std::move(post)),
       listener_(
-          loop, std::move(listening), [this](net::Fd fd) { accept(std::move(fd)); },
+          loop, std::move(listening), [this](net::Fd fd, net::Time waited) { accept(std::move(fd), waited); },
           [this] { return free_descriptor(); }),
       lingerer_(loop) {}
 
@@ -71,7 +71,7 @@
   connection.rank = rank;
 }
 
-void Front::accept(net::Fd fd) {
+void Front::accept(net::Fd fd, core::Time waited) {
   const bool room = make_room();
   if (!room && connections_.size() >= most_connections_ + kMostRefusing) {
     net::Stream turned_away(loop_, std::move(fd), false, kMostUnwritten);
@@ -84,13 +84,14 @@
   connection.serial = ++serial_;
   connection.since = now_;
   connection.refuses = !room;
+  if (waited > core::Time::zero()) connection.unread_since = now_ - waited;
   auto& strangers = ranks_[static_cast<std::size_t>(Rank::stranger)];
   connection.place = strangers.insert(strangers.end(), &connection);
   connections_.emplace(connection.serial, std::move(made));
   watch(connection, now_ + kWhole);
   connection.stream.handle({
       .connected = {},
-      .data = [this, &connection](std::string_view bytes) { take(connection, bytes); },
+      .data = [this, &connection](std::string_view bytes) { read(connection, bytes); },
       .ended =
           [this, &connection] {
             // It may only have closed its side, or have gone: what runs for it has its answer written, but
@@ -194,6 +195,11 @@
   if (++connection.strikes == kMostStrikes) dismiss(connection, "too many lines of no use");
 }
 
+void Front::read(Connection& connection, std::string_view bytes) {
+  take(connection, bytes);
+  connection.unread_since = {};
+}
+
 void Front::take(Connection& connection, std::string_view bytes) {
   // Lines that have come whole are read in place; only a line cut in two is kept.
   while (connection.stream.open() && !connection.closing) {
@@ -250,7 +256,7 @@
     connection.open[request.id] = client;
     open_[client] = {connection.serial, request.id, request.asked.ticket};
     request.asked.client = client;
-    post_(core::Arrived{std::move(request.asked)});
+    post_(core::Arrived{std::move(request.asked), connection.unread_since});
   }
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -64,6 +64,8 @@
     bool refuses = false;       // there was no room for it: what it asks is refused
     unsigned strikes = 0;
     core::Time since{};  // it was accepted, or the line that is not whole began
+    core::Time
+        unread_since{};  // what is read first may have come then, before it was accepted; 0: not before
     Rank rank = Rank::stranger;
     std::list<Connection*>::iterator place;
     std::unordered_map<std::uint64_t, core::Client> open;  // by the client's id
@@ -74,7 +76,8 @@
     std::string ticket;
   };
 
-  void accept(net::Fd fd);
+  void accept(net::Fd fd, core::Time waited);
+  void read(Connection& connection, std::string_view bytes);
   void take(Connection& connection, std::string_view bytes);
   void take_line(Connection& connection, std::string_view line);
   void cancel(Connection& connection, const RpcCancel& message);
