Ask before each event whether the sockets must be looked at again, and join stalls

Two causes: a stop between the look and the events of the same turn, and a stop that follows another before the loop has acted, of which only the first was told. Ruled out: answers that were ready and lay unread (their order of events). The sockets are asked for before each event, a stall that goes on is told with its whole length, and stalls that follow each other count as one for what fell due. The soak's judge joins them too, and tells what a broker said before a violation.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -228,8 +228,8 @@
 }
 
 // True: nothing may be decided before the sockets are looked at again, with the next tick at the latest.
-bool Broker::look_again() {
-  const bool again = stall_watch_.look_again(now());
+bool Broker::look_again(core::Time now) {
+  const bool again = stall_watch_.look_again(now);
   wake();
   return again;
 }
@@ -237,10 +237,10 @@
 // Before the loop sleeps: all that has happened in this turn of it.
 void Broker::on_prepare(ev::prepare&, int) {
   do {
-    if (look_again()) return;
+    if (look_again(now())) return;
     if (std::exchange(tick_due_, false)) tick();
     if (control_) control_->settle();
-    pump();
+    if (!pump_unless_stalled()) return;
     engines_->settle();
     front_->settle();
     if (mysql_) mysql_->settle();
@@ -257,13 +257,25 @@
 }
 
 void Broker::pump() {
+  while (!events_.empty()) take_event(now());
+}
+
+// As far as the sockets need not be looked at again before.
+bool Broker::pump_unless_stalled() {
   while (!events_.empty()) {
-    auto event = std::move(events_.front());
-    events_.pop_front();
-    effects_.clear();
-    reducer_.reduce(now(), std::move(event), effects_);
-    for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
+    const auto now = this->now();
+    if (look_again(now)) return false;
+    take_event(now);
   }
+  return true;
+}
+
+void Broker::take_event(core::Time now) {
+  auto event = std::move(events_.front());
+  events_.pop_front();
+  effects_.clear();
+  reducer_.reduce(now, std::move(event), effects_);
+  for (auto& effect : effects_) std::visit([this](auto& e) { run(e); }, effect);
 }
 
 void Broker::run(const core::Answer& effect) {
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -51,9 +51,11 @@
   void on_hooks(ev::timer& timer, int events);
   void on_check(ev::check& check, int events);
   void pump();
+  [[nodiscard]] bool pump_unless_stalled();
+  void take_event(core::Time now);
   void tick();
   void wake();
-  [[nodiscard]] bool look_again();
+  [[nodiscard]] bool look_again(core::Time now);
   [[nodiscard]] core::Time now() const;
   [[nodiscard]] net::Post poster();
   [[nodiscard]] std::unique_ptr<net::EngineDriver> make_engines();
--- a/src/app/stall_watch.hpp
+++ b/src/app/stall_watch.hpp
@@ -56,15 +56,14 @@
     return now - previous_ > kUsual ? previous_ : now;
   }
 
-  // The stall noticed since the last call, once.
+  // The stall noticed since the last call, or found to have gone on.
   [[nodiscard]] std::optional<Stall> take_stall() { return std::exchange(noticed_, std::nullopt); }
 
  private:
   void stalled(Time since, Time now) {
-    if (!std::exchange(settling_, true)) {
-      since_ = since;
-      noticed_ = Stall{since, now - since};
-    }
+    // One that follows before the loop has acted is the same stall, which goes on.
+    if (!std::exchange(settling_, true)) since_ = since;
+    noticed_ = Stall{since_, now - since_};
     noticed_at_ = now;
     looks_ = 0;
   }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -249,7 +249,10 @@
 
 void Reducer::on(const Stalled& stalled) {
   ++counters_.stalls;
-  stalled_ = stalled;
+  // One that follows at once is taken for the same: what fell due in the first has not had its turn yet.
+  const bool goes_on = stalled.since <= stalled_.since + stalled_.length + kLateAnswer;
+  const Time since = goes_on ? stalled_.since : stalled.since;
+  stalled_ = {since, stalled.since + stalled.length - since};
   put(Log{"the process did not run for " + std::to_string(stalled.length / 1ms) + " ms",
           log::Level::warning});
 }
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -394,6 +394,19 @@
   }
 }
 
+// The process stops again before it has come to what fell due in its first stop.
+TEST(Reducer, StallsThatFollowEachOtherCountAsOneForWhatFellDue) {
+  Driven d(settings());
+  d.at(0ms, FleetQuiet{true});
+  d.ask(1, 0, 500ms);
+  const Time before = d.now;
+  d.at(2s, Stalled{before, 2s});
+  d.at(100ms, Stalled{before + 2s, 100ms});
+  d.at(0ms, Tick{});
+  EXPECT_EQ(d.all<Answer>().size(), 1U);
+  EXPECT_EQ(d.reducer.counters().all_violations(), 0U);
+}
+
 // A wall clock that had stepped before the program's start made each engine known by then look warm, or as if
 // it were to begin in an hour. What does not need it: none is younger than a newer one.
 TEST(Reducer, AStartKnownBeforeIsTakenForRecentWhateverTheWallClockSays) {
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -24,6 +24,7 @@
 constexpr double kCores = 1,  // an engine: few enough for queries to queue
     kColdFrom = 0.33, kRampMs = 15'000, kTipMultiple = 2.5, kFullCapacity = 0.85;
 constexpr std::size_t kLinesToLookAt = 2000;  // of a log, for those of one request
+constexpr std::ptrdiff_t kLinesBefore = 60;   // of a log, before a violation
 constexpr std::size_t kMostTold = 20;         // broken rules of which all is told
 constexpr double kWorkSeconds = 0.4;          // of a query, as stand-in engines tell it
 
@@ -423,6 +424,14 @@
         if (logs_[n].find(of) != std::string::npos) std::cout << "    " << logs_[n] << '\n';
     }
   }
+  // What a broker said before it told of a violation.
+  void tell_what_led_to(const std::string& violation) {
+    const auto found = std::ranges::find_if(
+        logs_, [&](const auto& line) { return violation.find(line) != std::string::npos; });
+    const auto at = found - logs_.begin();
+    for (auto n = std::max<std::ptrdiff_t>(0, at - kLinesBefore); n < at; ++n)
+      std::cout << "    " << logs_[static_cast<std::size_t>(n)] << '\n';
+  }
   int report() {
     const SlowStart slow_start{kTipMultiple * kFullCapacity * kCores / kWorkSeconds, kColdFrom, kRampMs,
                                1000};
@@ -437,6 +446,7 @@
       for (const auto& line : verdicts.broken) {
         std::cout << "  BROKEN " << line << '\n';
         if (++told > kMostTold) continue;
+        if (line.find("violation:") != std::string::npos) tell_what_led_to(line);
         for (const auto& word : words_of(line))
           if (word.size() == 16) tell_all_of(word);
       }
--- a/tests/stall_watch_test.cpp
+++ b/tests/stall_watch_test.cpp
@@ -49,6 +49,21 @@
   EXPECT_FALSE(watch.take_stall().has_value()) << "told once";
 }
 
+// Stopped, let go on for a moment, and stopped again.
+TEST(StallWatch, AStallThatGoesOnIsToldWithItsWholeLength) {
+  StallWatch watch;
+  run(watch, kStart, 1);
+  watch.looked(kStart + 1500ms);
+  ASSERT_TRUE(watch.take_stall().has_value());
+  EXPECT_TRUE(watch.look_again(kStart + 1501ms));
+  watch.looked(kStart + 2500ms);
+  const auto stall = watch.take_stall();
+  ASSERT_TRUE(stall.has_value());
+  EXPECT_EQ(stall->since, kStart);
+  EXPECT_EQ(stall->length, 2500ms);
+  EXPECT_EQ(watch.came_after(kStart + 2500ms), kStart);
+}
+
 // The process was stopped between reading and acting.
 TEST(StallWatch, AfterAStallInATurnTheLoopLooksAgainBeforeItActs) {
   StallWatch watch;
