Take slow start, the reducer's fleet and hooks, and signals into modules of their own

Signals were held and let through in four places. The directory's socket is watched as all others are, also when the loop could not take it in. Behaviour is as before.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <cstring>
 
+#include "app/signals.hpp"
 #include "log/log.hpp"
 #include "mysql/engines.hpp"
 #include "net/steady_clock.hpp"
@@ -145,10 +146,7 @@
   interrupt_.start(SIGINT);
   hangup_.start(SIGHUP);
   counters_asked_.start(SIGUSR1);
-  sigset_t heeded;
-  sigemptyset(&heeded);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&heeded, signal);
-  sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
+  let_signals_through({SIGHUP, SIGTERM, SIGINT, SIGUSR1});
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   check_.start();
--- a/src/app/control_node.cpp
+++ b/src/app/control_node.cpp
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 
+#include "app/signals.hpp"
 #include "config/config.hpp"
 #include "config/document.hpp"
 #include "hcl/value.hpp"
@@ -87,10 +88,7 @@
   term_.start(SIGTERM);
   interrupt_.start(SIGINT);
   hangup_.start(SIGHUP);
-  sigset_t heeded;
-  sigemptyset(&heeded);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&heeded, signal);
-  sigprocmask(SIG_UNBLOCK, &heeded, nullptr);
+  let_signals_through({SIGHUP, SIGTERM, SIGINT});
   say("listening on " + find(name_)->address);
   tick_.start(0, std::chrono::duration<double>(kTick).count());
   prepare_.start();
@@ -249,11 +247,7 @@
 }
 
 int run_control_node(const std::string& file, const std::string& node) {
-  // A signal that comes before the program can heed it waits; ControlNode::run() lets it through.
-  sigset_t held;
-  sigemptyset(&held);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT}) sigaddset(&held, signal);
-  sigprocmask(SIG_BLOCK, &held, nullptr);
+  hold_signals({SIGHUP, SIGTERM, SIGINT});  // ControlNode::run() lets them through
   log::start();
   try {
     auto config = config::read_control(config::read_file(file, "operator's file"), file, node);
--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -116,15 +116,7 @@
 constexpr double kCopiesSaved = 10;  // copies' worth of work that may be saved up, of the heaviest class
 
 // Cold starts.
-constexpr double kSentPart = 0.8;   // of what tips it over, from all gateways together;
-constexpr double kEvenPart = 0.4;   // half of it as even shares, where these hold a query
-constexpr double kColdLevel = 0.5;  // of the fleet's level, that turns are taken to bring an engine to
-constexpr Time kTurn = 1s;          // how long a turn can be used
-// Turns a second of all gateways together, by how many of them a window bears at once: with more, chance
-// alone would have too many fall into one. Where it bears more than this lists, their mean work is what
-// counts.
-constexpr std::array<double, 6> kMostTurns = {0, 0.02, 0.15, 0.5, 0.9, 1.4};
-constexpr double kTurnStep = 0.1;       // s; time without a call of its own brings a gateway no turns
+constexpr double kColdLevel = 0.5;      // of the fleet's level, that turns are taken to bring an engine to
 constexpr double kFullCapacity = 0.85;  // core-seconds a second for each core: what "capacity" stands for
 constexpr double kFirstWork = 0.5;      // of aim x threads: a class's work before any answer
 constexpr double kMixStep = 0.02;       // weight of one query in the mean work of those that come
@@ -442,52 +434,32 @@
     return s_.tip_multiple * warmth(engine, s_.tip_window) * kFullCapacity * cores(engine) *
            secs(s_.tip_window);
   }
-  double even_share(const Engine& engine) const { return kEvenPart * tips_over(engine) / s_.gateways; }
-
-  // A query that its gateway's even share of the budget holds goes while the window's sum stays within that
-  // share: whatever all gateways do at once, their light queries stay under a part of the whole. An even
-  // share may hold no query. For those gateways have turns at moments drawn from their seeds, all together
-  // under a part of the whole, a window apart at the least; none are saved up.
+  slow_start::Capacity capacity(const Engine& engine) const {
+    return {tips_over(engine), secs(s_.tip_window), static_cast<double>(s_.gateways)};
+  }
   bool cold_room(const Request& request, Engine& engine) const {
     if (s_.tip_multiple <= 0 || !cold(engine)) return true;
     if (in_first_window()) return false;
-    const double work = cold_work(request), share = even_share(engine);
-    if (work <= share) return engine.sent.within(now_, s_.tip_window) + work <= share;
-    return now_ < engine.turn_until && work <= engine.turn_left;
+    return engine.budget.holds(now_, s_.tip_window, cold_work(request), capacity(engine).even_share());
   }
   // What the process before this one has sent in the window that ends now is not known.
   bool in_first_window() const { return now_ < began_ + s_.tip_window; }
   void charge(Engine& engine, double work) {
-    if (!cold(engine)) return;
-    work <= even_share(engine) ? engine.sent.add(now_, work) : void(engine.turn_left -= work);
+    if (cold(engine)) engine.budget.charge(now_, work, capacity(engine).even_share());
   }
 
   double heaviest() const { return std::ranges::max_element(classes_, {}, &Class::work)->work; }
-  // How many turns of so much work a window bears at once, beside even shares of this part: a budget of N
-  // queries of mean work may be passed by twice the root of N and 2, or where N lies under 30 by three times
-  // it and 3 (the operators' rule on slow start).
-  std::size_t turns_borne(const Engine& engine, double work, double even_part) const {
-    const double n = tips_over(engine) / mean_work_;
-    const double most = n < 30 ? n + 3 * std::sqrt(n) + 3 : n + 2 * std::sqrt(n) + 2;
-    return static_cast<std::size_t>(
-        std::max(0.0, (most * mean_work_ - even_part * tips_over(engine)) / work));
-  }
   double lightest() const { return std::ranges::min_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
     sum_cores();
     if (in_first_window()) return;
     for (auto* engine : ready_) {
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
-      const double part = lightest() <= even_share(*engine) ? kSentPart - kEvenPart : kSentPart;
-      double share = part * tips_over(*engine) / secs(s_.tip_window) / s_.gateways;  // a second
-      const double work = std::max(heaviest(), share * secs(kTurn));
-      const auto borne = turns_borne(*engine, work, kSentPart - part);
-      if (borne < kMostTurns.size()) share = std::min(share, kMostTurns[borne] * work / s_.gateways);
-      if (drawn() >= std::min(passed, kTurnStep) * share / work || now_ < engine->turn_from + s_.tip_window)
-        continue;
-      engine->turn_from = now_;
-      engine->turn_until = now_ + kTurn;
-      engine->turn_left = work;
+      const auto turns = slow_start::turn_rate(capacity(*engine), {lightest(), heaviest(), mean_work_});
+      const bool drawn_now =
+          drawn() < std::min(passed, slow_start::kTurnStep) * turns.work_per_second / turns.work;
+      if (!drawn_now || !engine->budget.may_begin_turn(now_, s_.tip_window)) continue;
+      engine->budget.begin_turn(now_, turns.work);
       invited_.push_back(engine);
     }
   }
@@ -976,7 +948,7 @@
       if (engine->looked != look_ && engine->ready) compared_.push_back(engine);
       engine->looked = look_;
     };
-    std::erase_if(invited_, [this](const Engine* engine) { return now_ >= engine->turn_until; });
+    std::erase_if(invited_, [this](const Engine* engine) { return !engine->budget.in_turn(now_); });
     for (auto* engine : invited_) add(engine);
     for (std::size_t i = 0; i < kDraws; ++i) add(ready_[random_() % ready_.size()]);
     if (!readers_wait_) {
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -19,23 +19,11 @@
 // After its deadline an answer is late by the protocol, whose time limits have this slack.
 constexpr Time kLateAnswer = 50ms;
 constexpr Time kSweep = 1s;  // between looks for keys that rest no more
-// Lines of the log about tagged requests in a second.
-constexpr unsigned kMostTagged = 50;
-
 std::size_t weight(const Submission& asked) {
   constexpr std::size_t kEach = 1024;  // for what stands beside the texts
   return kEach + asked.body.size() + asked.parameters.size() + asked.nonce.size();
 }
 
-// What hooks of all phases are shown of a request.
-hooks::Subject subject_of(const Submission& asked) {
-  hooks::Subject out;
-  out.cls = asked.cls;
-  out.tenant = asked.tenant;
-  out.front = static_cast<std::uint8_t>(asked.front);
-  return out;
-}
-
 Time longest_deadline(const heronwell::Settings& settings) {
   Time out{};
   for (const auto& cls : settings.classes) out = std::max(out, cls.give_up);
@@ -123,84 +111,6 @@
 
 void Reducer::on(const Listening&) { lifecycle_.listening(); }
 
-void Reducer::on(FleetChange& change) {
-  heronwell::Listing listing;
-  listing.kind = !change.full  ? heronwell::ListKind::delta
-                 : fleet_told_ ? heronwell::ListKind::full
-                               : heronwell::ListKind::cached;
-  if (change.full) {
-    std::erase_if(members_, [&](const auto& known) {
-      const auto same = [&](const Member& m) { return m.entry.engine == known.first; };
-      if (std::ranges::any_of(change.members, same)) return false;
-      put(EngineMoved{known.first, known.second.address, false, false});
-      return true;
-    });
-  }
-  for (const auto& member : change.members) {
-    if (!is_news(change.live)) starts_.note_known(member.started);
-  }
-  for (auto& member : change.members) {
-    member.entry.last_start = start_of(member, change.live);
-    listing.engines.push_back(member.entry);
-    const auto state = member.entry.state;
-    put(EngineMoved{member.entry.engine, member.address, state != EngineState::gone,
-                    state == EngineState::ready});
-    const auto id = member.entry.engine;
-    // Engines come with new ids for ever: what is gone is not kept.
-    if (state == EngineState::gone) {
-      members_.erase(id);
-    } else {
-      members_.insert_or_assign(id, std::move(member));
-    }
-  }
-  fleet_told_ = true;
-  news_.push_back(std::move(listing));
-  // What still waits for a connection to an engine that drains or is gone must not leave after all.
-  for (auto& [id, request] : requests_) {
-    for (std::size_t n = 0; n < request.attempts.size(); ++n) {
-      auto& attempt = request.attempts[n];
-      const auto member = members_.find(attempt.engine);
-      const bool ready = member != members_.end() && member->second.entry.state == EngineState::ready;
-      if (attempt.stage == Stage::waiting && !ready)
-        abandon({id, static_cast<AttemptIndex>(n)}, attempt, false);
-    }
-  }
-  if (!change.live) return;
-  if (starts_.take_was_off()) read_starts_anew();
-  on(FleetQuiet{});
-}
-
-// What comes with the first answer may be old news, as what was known is.
-bool Reducer::is_news(bool live) const { return live && heard_ != Time::zero(); }
-
-// Kept once it is read: the same start, told again, must not look like another.
-Time Reducer::start_of(const Member& member, bool live) {
-  if (member.started == Time::zero()) return {};
-  const auto known = members_.find(member.entry.engine);
-  if (known != members_.end() && known->second.started == member.started)
-    return known->second.entry.last_start;
-  return is_news(live) ? starts_.of_news(member.started, now_, heard_)
-                       : starts_.of_known(member.started, now_);
-}
-
-void Reducer::read_starts_anew() {
-  heronwell::Listing listing;
-  listing.kind = heronwell::ListKind::delta;
-  for (auto& [id, member] : members_) {
-    if (member.started == Time::zero()) continue;
-    member.entry.last_start = std::max(member.entry.last_start, starts_.read_anew(member.started, now_));
-    listing.engines.push_back(member.entry);
-  }
-  put(Log{"a wall clock is off: starts of engines are read anew"});
-  news_.push_back(std::move(listing));
-}
-
-void Reducer::on(const FleetQuiet& quiet) {
-  if (quiet.answered) heard_ = now_;
-  const auto ready = [](const auto& m) { return m.second.entry.state == EngineState::ready; };
-  if (std::ranges::any_of(members_, ready)) lifecycle_.fleet_known();
-}
-
 void Reducer::on(Arrived& arrived) {
   auto& asked = arrived.asked;
   const auto bytes = weight(asked);
@@ -228,22 +138,7 @@
   held_bytes_ += bytes;
   ++owed_;
   wheel_.arm(request.deadline - kLastCall, {Alarm::Kind::deadline, {id, 0}});
-  if (hooks_.any(hooks::Phase::request) || !lines_.empty()) {
-    const auto& taken = request.asked;
-    auto subject = subject_of(taken);
-    subject.statement_size = taken.body.size();
-    subject.limit = taken.limit;
-    subject.cpu = taken.cost;
-    subject.ram = taken.memory_mb;
-    subject.group = taken.data_group;
-    subject.second = taken.repeat;
-    const bool inside = hooks_.enter(now_, id, std::move(subject), taken.body);
-    // One that comes behind another of its key stays behind it, whether a hook is for it or not.
-    const bool behind = in_line(taken) && (inside || lines_.contains(taken.order_key));
-    if (behind) lines_[taken.order_key].push_back(id);
-    request.place = inside ? Place::hooks : behind ? Place::line : Place::module;
-    if (request.place != Place::module) return;
-  }
+  if (enter_hooks(id, request)) return;
   hand_over(id, request);
 }
 
@@ -264,122 +159,6 @@
   return now_ > due && !(stalled_.length > Time::zero() && due >= stalled_.since && now_ <= ran_again);
 }
 
-// ---- requests on their way through their hooks
-
-bool Reducer::in_line(const Submission& asked) const {
-  return asked.order_key != 0 && settings_.classes[asked.cls].in_order;
-}
-
-// The module hears of it.
-void Reducer::hand_over(RequestId id, Request& request) {
-  request.place = Place::module;
-  const auto& asked = request.asked;
-  heronwell::Arrival arrival;
-  arrival.request = id;
-  arrival.cls = asked.cls;
-  arrival.tenant = asked.tenant;
-  arrival.order_key = asked.order_key;
-  arrival.cost = asked.cost;
-  arrival.memory_mb = asked.memory_mb;
-  arrival.data_group = asked.data_group;
-  arrival.repeat = asked.repeat;
-  news_.push_back(arrival);
-}
-
-// Its hooks are through with it, or its answer is fixed: those behind it may go on.
-void Reducer::step_out(RequestId id, Request& request) {
-  if (request.place == Place::module) return;
-  if (request.place == Place::hooks) hooks_.leave(id);
-  request.place = Place::module;
-  const auto line = lines_.find(request.asked.order_key);
-  if (line == lines_.end() || !in_line(request.asked)) return;
-  std::erase(line->second, id);
-  moved_lines_.push_back(line->first);
-}
-
-void Reducer::advance_line(std::uint64_t key) {
-  const auto line = lines_.find(key);
-  if (line == lines_.end()) return;
-  auto& waiting = line->second;
-  while (!waiting.empty()) {
-    auto& request = requests_.at(waiting.front());
-    if (request.place == Place::hooks) return;
-    hand_over(waiting.front(), request);
-    waiting.pop_front();
-  }
-  lines_.erase(line);
-}
-
-void Reducer::let_through(hooks::Passed& passed) {
-  auto* request = find(passed.owner);
-  if (request == nullptr || request->answered) return;
-  request->tags = std::move(passed.subject.tags);
-  if (passed.refused) {
-    const Time pause =
-        settings_.retry_after ? std::min(*passed.refused, settings_.max_retry_after) : Time::zero();
-    answer(passed.owner, *request, AnswerKind::refused, pause, {});
-    return forget_if_done(passed.owner);
-  }
-  auto& asked = request->asked;
-  asked.cost = passed.subject.cpu;
-  asked.memory_mb = passed.subject.ram;
-  asked.repeat = passed.subject.second;
-  if (!in_line(asked)) return hand_over(passed.owner, *request);
-  request->place = Place::line;
-  moved_lines_.push_back(asked.order_key);
-}
-
-// What the hooks' decisions have come to, until there is nothing more to be done about them in this step.
-void Reducer::settle_hooks() {
-  if (hooks_.quiet() && moved_lines_.empty()) return;
-  while (!hooks_.passed.empty() || !moved_lines_.empty()) {
-    auto passed = std::exchange(hooks_.passed, {});
-    for (auto& through : passed) let_through(through);
-    const auto moved = std::exchange(moved_lines_, {});
-    for (const auto key : moved) advance_line(key);
-  }
-  hooks_.dispatch(now_);
-  for (auto& command : hooks_.commands) std::visit([this](auto& c) { put(std::move(c)); }, command);
-  hooks_.commands.clear();
-  for (auto& line : hooks_.said) put(Log{std::move(line)});
-  hooks_.said.clear();
-}
-
-// To hooks of phase answer, and to the log if it was tagged.
-void Reducer::tell_end(const Request& request, AnswerKind kind, Time pause) {
-  constexpr std::array kKinds{"served", "refused", "failed", "timed_out"};
-  const auto& asked = request.asked;
-  const char* const what = kKinds.at(static_cast<std::size_t>(kind));
-  if (hooks_.any(hooks::Phase::answer)) {
-    auto end = subject_of(asked);
-    end.tags = request.tags;
-    end.kind = what;
-    end.duration = now_ - request.since;
-    end.later = pause;
-    end.attempts = request.attempts.size();
-    hooks_.told(now_, end, asked.body);
-  }
-  if (request.tags.empty()) return;
-  if (now_ >= tags_second_ + 1s) {
-    if (tags_unsaid_ > 0) put(Log{"tagged: " + std::to_string(tags_unsaid_) + " more requests"});
-    tags_second_ = now_;
-    tags_lines_ = tags_unsaid_ = 0;
-  }
-  if (++tags_lines_ > kMostTagged) {
-    ++tags_unsaid_;
-    return;
-  }
-  std::string tags;
-  for (const auto& tag : request.tags) tags += (tags.empty() ? "" : ",") + tag;
-  const auto tenant =
-      asked.tenant < settings_.tenants.size() ? settings_.tenants[asked.tenant].name : std::string();
-  put(Log{
-      "tagged: tags=" + tags + " class=" + settings_.classes[asked.cls].name + " tenant=" + tenant +
-      " end=" + what + " ms=" +
-      std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now_ - request.since).count()) +
-      " attempts=" + std::to_string(request.attempts.size())});
-}
-
 void Reducer::on(const Cancelled& cancelled) {
   const auto found = by_client_.find(cancelled.client);
   if (found == by_client_.end()) return;
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -116,6 +116,7 @@
   void settle_hooks();
   void let_through(hooks::Passed& passed);
   void hand_over(RequestId id, Request& request);
+  [[nodiscard]] bool enter_hooks(RequestId id, Request& request);
   void step_out(RequestId id, Request& request);
   void advance_line(std::uint64_t key);
   void tell_end(const Request& request, AnswerKind kind, Time pause);
--- a/src/directory/ldap.cpp
+++ b/src/directory/ldap.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <array>
 
+#include "net/io_watch.hpp"
+
 namespace bellstair::directory {
 namespace {
 using namespace std::chrono_literals;
@@ -60,7 +62,7 @@
     const auto at = net::parse_address(owner_.config_.address);
     fd_ = at ? net::begin_connect(*at) : net::Fd();
     if (!fd_) return false;
-    io_.start(fd_.get(), ev::WRITE);
+    io_.watch(fd_.get(), ev::WRITE);
     return true;
   }
 
@@ -81,7 +83,7 @@
   }
   void unavailable() { conclude(Verdict::Kind::unavailable); }
 
-  void on_io(ev::io&, int) {
+  void on_io(int) {
     if (stage_ == Stage::connecting) return connected();
     LDAPMessage* raw = nullptr;
     timeval at_once{0, 0};
@@ -107,7 +109,7 @@
 
   void connected() {
     if (net::connect_error(fd_.get()) != 0) return unavailable();
-    io_.set(ev::READ);
+    io_.watch(fd_.get(), ev::READ);
     const auto url = "ldap://" + owner_.config_.address;
     // From here on libldap owns a descriptor: one of its own, so that closing it leaves ours alone.
     const int own = ::dup(fd_.get());
@@ -157,7 +159,7 @@
   std::string user_, password_;
   Done done_;
   core::Time until_;
-  ev::io io_;
+  net::IoWatch io_;
   net::Fd fd_;
   LDAP* ldap_ = nullptr;
   Stage stage_ = Stage::connecting;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -9,6 +9,7 @@
 #include "app/broker.hpp"
 #include "app/config_tool.hpp"
 #include "app/hook_tool.hpp"
+#include "app/signals.hpp"
 #include "config/config.hpp"
 #include "config/fronts.hpp"
 #include "hooks/load.hpp"
@@ -102,12 +103,8 @@
                                      options.cases);
   if (options.command != "serve" && options.command != "check-config")
     usage_error("unknown command '" + options.command + "'");
-  // A signal that comes before the program can heed it waits; Broker::run() lets it through.
-  sigset_t held;
-  sigemptyset(&held);
-  for (const int signal : {SIGHUP, SIGTERM, SIGINT, SIGUSR1}) sigaddset(&held, signal);
   if (options.command == "serve") {
-    sigprocmask(SIG_BLOCK, &held, nullptr);
+    bellstair::app::hold_signals({SIGHUP, SIGTERM, SIGINT, SIGUSR1});  // Broker::run() lets them through
     bellstair::log::start(options.log_level);
   }
   using bellstair::config::read_file;
--- a/src/state.hpp
+++ b/src/state.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "heronwell/gateway.hpp"
+#include "slow_start.hpp"
 
 namespace heronwell {
 
@@ -84,25 +85,6 @@
   std::deque<Doubt> doubts_;
 };
 
-// Core-seconds sent, at each moment of a window that slides.
-class SlidingSum {
- public:
-  void add(Time at, double work) {
-    sent_.emplace_back(at, work);
-    sum_ += work;
-  }
-  // In the `window` that ends now. What lies before it is forgotten.
-  [[nodiscard]] double within(Time now, Time window) {
-    for (; !sent_.empty() && sent_.front().first <= now - window; sent_.pop_front())
-      sum_ -= sent_.front().second;
-    return sent_.empty() ? sum_ = 0 : sum_;
-  }
-
- private:
-  std::deque<std::pair<Time, double>> sent_;
-  double sum_ = 0;
-};
-
 struct Engine {
   EngineEntry entry;
   bool ready = false;
@@ -116,10 +98,8 @@
   double measure = 1;         // and of the last answer here
   Time heard{};
   ColdStart start;
-  Time broke{};                    // the last connection that broke, unless it was heard since
-  Time turn_from{}, turn_until{};  // while cold: this gateway's turn, and core-seconds left of it
-  double turn_left = 0;
-  SlidingSum sent;    // while cold: what its even share was used for
+  Time broke{};       // the last connection that broke, unless it was heard since
+  ColdBudget budget;  // while it is cold
   double others = 0;  // threads of other gateways at the last report
   Time reported{}, probed{};
   std::uint64_t looked = 0;  // the last comparison it took part in
