Count the time to the platform's kill from when SIGTERM may have come

StopAsked holds the last look before a stall; the lifecycle counts from there. Ruled out: the signal's delivery, which is immediate once the process runs. The datagrams' socket pauses as streams do when the system lacks memory. Measured: the test passes, the core's and the reconfiguration's tests too.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -202,7 +202,7 @@
 
 void Broker::on_hooks(ev::timer&, int) { post(core::HooksTurn{}); }
 
-void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{}); }
+void Broker::on_signal(ev::sig&, int) { post(core::StopAsked{stall_watch_.came_after(now())}); }
 
 void Broker::on_counters_asked(ev::sig&, int) { log_counters(); }
 
--- a/src/core/events.hpp
+++ b/src/core/events.hpp
@@ -117,7 +117,9 @@
   std::uint32_t from = 0;
   std::string bytes;
 };
-struct StopAsked {};
+struct StopAsked {
+  Time since{};  // the earliest moment at which it may have come; 0: when the event is heard
+};
 struct ReloadAsked {};
 struct ConfigurationRead {  // again, because it was asked for
   std::string problem;      // why it can't be used; the old one stays then
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -333,13 +333,14 @@
   news_.push_back(heronwell::PeerMessage{heard.from, std::move(heard.bytes)});
 }
 
-void Reducer::on(const StopAsked&) {
+void Reducer::on(const StopAsked& asked) {
   // Requests taken before a version that made deadlines shorter keep theirs.
   Time longest = longest_deadline(settings_);
   for (const auto& [id, request] : requests_) {
     if (!request.answered) longest = std::max(longest, request.deadline - now_);
   }
-  lifecycle_.stop(now_, longest);
+  // The platform's kill counts from the signal, not from when it was heard.
+  lifecycle_.stop(asked.since == Time::zero() ? now_ : std::min(asked.since, now_), longest);
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
 }
 
--- a/src/core/reducer.hpp
+++ b/src/core/reducer.hpp
@@ -91,7 +91,7 @@
   void on(AttemptEnded& ended);
   void on(ProbeEnded& ended);
   void on(PeerHeard& heard);
-  void on(const StopAsked&);
+  void on(const StopAsked& asked);
   void on(const ReloadAsked&) { put(ReadConfiguration{}); }
   void on(ConfigurationRead& read);
   void on(SettingsOffered& offered);
--- a/src/platform/peers.cpp
+++ b/src/platform/peers.cpp
@@ -55,7 +55,10 @@
     socklen_t size = sizeof from;
     const auto got = ::recvfrom(fd_.get(), buffer.data(), buffer.size(), MSG_DONTWAIT,
                                 reinterpret_cast<sockaddr*>(&from), &size);
-    if (got < 0) return;
+    if (got < 0) {
+      if (errno != EAGAIN && errno != EINTR) io_.pause();  // the loop would report it in each of its turns
+      return;
+    }
     if (static_cast<std::size_t>(got) > kMostBytes) continue;
     const auto sender = numbers_.find(place(from));
     if (sender == numbers_.end()) continue;  // a stranger
