Send nothing after a stall that was decided before it, and tell stalls before all else

Ruled out: the looks themselves. A statement is handed back as never sent if a stall comes between; Stalled goes before all other events; the front takes a connection that could not be accepted after a stall to have come in it.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -219,10 +219,13 @@
   if (!stall) return;
   const auto now = this->now();
   engines_->wake(now);
-  front_->wake(now);
+  front_->wake(now, stall->since);
   if (mysql_) mysql_->wake(now);
   changelog_.wake(now);
-  post(core::Stalled{stall->since, stall->length});
+  // What waits is decided in its light. One that goes on takes the place of what was told of it.
+  const bool told = !events_.empty() && std::holds_alternative<core::Stalled>(events_.front());
+  if (told) events_.pop_front();
+  events_.push_front(core::Stalled{stall->since, stall->length});
 }
 
 // True: nothing may be decided before the sockets are looked at again, with the next tick at the latest.
@@ -280,6 +283,12 @@
   if (!front_->run(effect) && mysql_) mysql_->run(effect);
 }
 
+// What was decided before a stall is not sent after it: its client may have gone, and has less time left.
+void Broker::run(core::Transmit& effect) {
+  if (look_again(now())) return engines_->run(core::Abandon{effect.id});
+  engines_->run(effect);
+}
+
 void Broker::run(const core::Log& effect) {
   log::write(effect.level, "bellstair " + config_.name + ": " + effect.text);
 }
--- a/src/app/broker.hpp
+++ b/src/app/broker.hpp
@@ -64,7 +64,7 @@
 
   void run(const core::Answer& effect);
   void run(const core::StartAttempt& effect) { engines_->run(effect); }
-  void run(core::Transmit& effect) { engines_->run(effect); }
+  void run(core::Transmit& effect);
   void run(const core::Abandon& effect) { engines_->run(effect); }
   void run(const core::Reprioritize& effect) { engines_->run(effect); }
   void run(const core::ProbeEngine& effect) { engines_->run(effect); }
--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -146,8 +146,9 @@
   ++counters_.stalls;
   // One that follows at once is taken for the same: what fell due in the first has not had its turn yet.
   const bool goes_on = stalled.since <= stalled_.since + stalled_.length + kLateAnswer;
-  const Time since = goes_on ? stalled_.since : stalled.since;
-  stalled_ = {since, stalled.since + stalled.length - since};
+  const Time since = goes_on ? std::min(stalled_.since, stalled.since) : stalled.since;
+  const Time until = stalled.since + stalled.length;
+  stalled_ = {since, (goes_on ? std::max(stalled_.since + stalled_.length, until) : until) - since};
   put(Log{"the process did not run for " + std::to_string(stalled.length / 1ms) + " ms",
           log::Level::warning});
 }
--- a/src/platform/front.cpp
+++ b/src/platform/front.cpp
@@ -11,7 +11,8 @@
 // to come whole.
 constexpr core::Time kWhole = 2s;
 constexpr core::Time kLookAgain = 20ms;  // before a connection is looked at again whose input is not read yet
-constexpr int kLooks = 8;                // connections looked at, to close one of them for room
+constexpr core::Time kAfterStall = 50ms;  // in which the sockets are looked at again
+constexpr int kLooks = 8;                 // connections looked at, to close one of them for room
 }  // namespace
 
 Front::Front(ev::loop_ref loop, net::Fd listening, const config::Names& names, std::size_t most_connections,
@@ -84,7 +85,11 @@
   connection.serial = ++serial_;
   connection.since = now_;
   connection.refuses = !room;
-  if (waited > core::Time::zero()) connection.unread_since = now_ - waited;
+  if (waited > core::Time::zero()) {
+    // Where nobody could be accepted right after a stall, it may have come in the stall.
+    const core::Time failing = now_ - waited;
+    connection.unread_since = failing <= woken_ + kAfterStall ? std::min(failing, stalled_since_) : failing;
+  }
   auto& strangers = ranks_[static_cast<std::size_t>(Rank::stranger)];
   connection.place = strangers.insert(strangers.end(), &connection);
   connections_.emplace(connection.serial, std::move(made));
@@ -110,8 +115,9 @@
   watches_.arm(until, connection.serial);
 }
 
-void Front::wake(core::Time now) {
-  now_ = now;
+void Front::wake(core::Time now, core::Time since) {
+  now_ = woken_ = now;
+  stalled_since_ = since;
   lingerer_.wake(now);
 }
 
--- a/src/platform/front.hpp
+++ b/src/platform/front.hpp
@@ -32,8 +32,9 @@
   bool run(const core::Answer& answer);
   void settle();
   void tick(core::Time now);
-  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read.
-  void wake(core::Time now);
+  // The clock, after a time without a tick: nothing falls due before what has come meanwhile is read, and
+  // that may have come from `since` on.
+  void wake(core::Time now, core::Time since);
   // The program ends: every connection is closed once nothing on it is owed.
   void finish();
   // True while something is to be written, or a client has still to read its last word.
@@ -112,6 +113,7 @@
   std::size_t partial_ = 0;  // bytes of lines cut in two
   std::uint64_t serial_ = 0;
   core::Time now_{};
+  core::Time woken_{}, stalled_since_{};  // the last stall
 };
 
 }  // namespace bellstair::platform
--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -402,6 +402,7 @@
   const Time before = d.now;
   d.at(2s, Stalled{before, 2s});
   d.at(100ms, Stalled{before + 2s, 100ms});
+  d.at(0ms, Stalled{before + 1s, 500ms});  // told late
   d.at(0ms, Tick{});
   EXPECT_EQ(d.all<Answer>().size(), 1U);
   EXPECT_EQ(d.reducer.counters().all_violations(), 0U);
