--- a/src/core/reducer.cpp
+++ b/src/core/reducer.cpp
@@ -146,8 +146,9 @@
   ++counters_.stalls;
   // One that follows at once is taken for the same: what fell due in the first has not had its turn yet.
   const bool goes_on = stalled.since <= stalled_.since + stalled_.length + kLateAnswer;
-  const Time since = goes_on ? stalled_.since : stalled.since;
-  stalled_ = {since, stalled.since + stalled.length - since};
+  const Time since = goes_on ? std::min(stalled_.since, stalled.since) : stalled.since;
+  const Time until = stalled.since + stalled.length;
+  stalled_ = {since, (goes_on ? std::max(stalled_.since + stalled_.length, until) : until) - since};
   put(Log{"the process did not run for " + std::to_string(stalled.length / 1ms) + " ms",
           log::Level::warning});
 }
@@ -333,13 +334,14 @@
   news_.push_back(heronwell::PeerMessage{heard.from, std::move(heard.bytes)});
 }
 
-void Reducer::on(const StopAsked&) {
+void Reducer::on(const StopAsked& asked) {
   // Requests taken before a version that made deadlines shorter keep theirs.
   Time longest = longest_deadline(settings_);
   for (const auto& [id, request] : requests_) {
     if (!request.answered) longest = std::max(longest, request.deadline - now_);
   }
-  lifecycle_.stop(now_, longest);
+  // The platform's kill counts from the signal, not from when it was heard.
+  lifecycle_.stop(asked.since == Time::zero() ? now_ : std::min(asked.since, now_), longest);
   put(Log{std::string("phase: ") + name(lifecycle_.phase())});
 }
 
