Test that a loop that is always busy decides all the same

Read in the new code before landing, then shown: with turns whose reading takes 60 ms nothing is ever decided (0 events of 5,000), with 10 ms of reading and 50 ms of events a quarter. Each long turn counts as a stall, and the looks after it too.

--- a/tests/stall_watch_test.cpp
+++ b/tests/stall_watch_test.cpp
@@ -94,5 +94,27 @@
   EXPECT_GE(acted, 20);
 }
 
+// Events that are decided in `turns` turns, whose reading takes `reading` each; one event takes 1 ms, and no
+// more than 50 come in a turn.
+int events_of(int turns, StallWatch::Time reading) {
+  StallWatch watch;
+  auto now = StallWatch::Time(kStart);
+  int events = 0;
+  for (int turn = 0; turn < turns; ++turn) {
+    watch.looked(now);
+    now += reading;
+    for (int event = 0; event < 50 && !watch.look_again(now); ++event, ++events) now += 1ms;
+  }
+  return events;
+}
+
+// A flood must not keep the loop from deciding: what is read late is better than what is never decided.
+TEST(StallWatch, ALoopWhoseReadingAlwaysTakesLongDecidesAllTheSame) {
+  EXPECT_GT(events_of(100, 10ms), 90 * 50);
+  EXPECT_GT(events_of(100, 60ms), 90 * 50);
+  EXPECT_GT(events_of(100, 150ms), 90 * 50);
+  EXPECT_GT(events_of(100, 400ms), 10 * 50);
+}
+
 }  // namespace
 }  // namespace bellstair::app
