--- a/tests/core_test.cpp
+++ b/tests/core_test.cpp
@@ -30,6 +30,17 @@
   return s;
 }
 
+// One of so many gateways that its turns at a cold engine are rare.
+heronwell::Settings cold_settings() {
+  auto s = settings();
+  s.gateways = 100'000;
+  s.tip_multiple = 2.5;
+  s.tip_window = 1s;
+  s.cold_from = 0.4;
+  s.ramp_time = 10s;
+  return s;
+}
+
 class Driven {
  public:
   explicit Driven(heronwell::Settings s = settings()) : with(std::move(s)) {
@@ -333,13 +344,7 @@
 // tell that the clock was off.
 TEST(Reducer, StartsKnownBeforeAreReadAnewOnceTheWallClockTurnsOutToHaveBeenOff) {
   for (const Time off : {Time(-1h), Time(1h)}) {
-    auto s = settings();
-    s.gateways = 100'000;  // whose turns at a cold engine are rare
-    s.tip_multiple = 2.5;
-    s.tip_window = 1s;
-    s.cold_from = 0.4;
-    s.ramp_time = 10s;
-    Driven d(s);
+    Driven d(cold_settings());
     auto known = member(8), newcomer = member(9, EngineState::draining);
     known.started = d.now - off - 1s;
     d.at(0ms, FleetChange{true, {known}, false});
@@ -412,14 +417,8 @@
 // it were to begin in an hour. What does not need it: none is younger than a newer one.
 TEST(Reducer, AStartKnownBeforeIsTakenForRecentWhateverTheWallClockSays) {
   for (const Time off : {Time(-1h), Time(-5s), Time(0s), Time(5s), Time(1h)}) {
-    auto s = settings();
-    s.gateways = 100'000;  // whose turns at a cold engine are rare
-    s.tip_multiple = 2.5;
-    s.tip_window = 1s;
-    s.cold_from = 0.4;
-    s.ramp_time = 10s;
     for (const bool older : {false, true}) {
-      Driven d(s);
+      Driven d(cold_settings());
       auto newest = member(8, older ? EngineState::draining : EngineState::ready), other = member(9);
       newest.started = d.now - off - 200ms;
       other.started = newest.started - 11s;
--- a/tests/faults/accept_test.cpp
+++ b/tests/faults/accept_test.cpp
@@ -1,22 +1,12 @@
 // accept4() that fails as Linux documents it.
 #include <gtest/gtest.h>
 
-#include "../net/harness.hpp"
-#include "faults.hpp"
 #include "requests.hpp"
+#include "served.hpp"
 
 namespace bellstair::test {
 namespace {
 
-// A broker with one engine that serves whatever it is asked.
-struct Served {
-  explicit Served(const Faults& faults)
-      : broker({{"s-00000001", engine.server.address()}}, {}, 0, json::object(), json::object(),
-               faults.environment()) {}
-  HttpEngine engine{[](const Call&) { return rows("x\ty\tz\n"); }};
-  Broker broker;
-};
-
 // How many of `count` clients, each on a connection of its own, got no answer.
 int unanswered(const std::string& address, int count, int first) {
   int lost = 0;
--- a/tests/faults/io_test.cpp
+++ b/tests/faults/io_test.cpp
@@ -1,26 +1,17 @@
 // send(), recv() and epoll_wait() that are interrupted, transfer a part, or meet a connection that broke.
 #include <gtest/gtest.h>
 
-#include "../net/harness.hpp"
-#include "faults.hpp"
 #include "requests.hpp"
+#include "served.hpp"
 
 namespace bellstair::test {
 namespace {
 
-struct Served {
-  explicit Served(const Faults& faults)
-      : broker({{"s-00000001", engine.server.address()}}, {}, 0, json::object(), json::object(),
-               faults.environment()) {}
-  HttpEngine engine{[](const Call& call) {
-    return call.method == "DELETE" ? http(204) : rows(std::string(2000, 'x') + "\ty\tz\n");
-  }};
-  Broker broker;
-};
+const std::string kLongRow = std::string(2000, 'x') + "\ty\tz\n";
 
 TEST(IoFaults, InterruptedAndPartialTransfersCostNothing) {
   Faults faults;
-  Served served(faults);
+  Served served(faults, kLongRow);
   faults.fail(FaultyCall::send, 5, {EINTR, EAGAIN});
   faults.fail(FaultyCall::receive, 5, {EINTR});
   faults.fail(FaultyCall::wait, 5, {EINTR});
@@ -29,7 +20,7 @@
   Client client(served.broker.address);
   for (int n = 1; n <= 60; ++n) {
     client.ask(n, "once", kSelect, {{"txn", ticket(n)}});
-    EXPECT_EQ(body(client.answer()), std::string(2000, 'x') + "\ty\tz\n");
+    EXPECT_EQ(body(client.answer()), kLongRow);
   }
   EXPECT_EQ(served.engine.posts(), 60U);
 }
@@ -43,7 +34,7 @@
   for (const auto& want : {Want{FaultyCall::send, {ENOBUFS, ENOMEM}}, Want{FaultyCall::receive, {ENOMEM}},
                            Want{FaultyCall::control, {ENOMEM, ENOSPC}}}) {
     Faults faults;
-    Served served(faults);
+    Served served(faults, kLongRow);
     faults.fail(want.call, 5, want.errors);
     for (int n = 1; n <= 30; ++n) {
       const auto from = std::chrono::steady_clock::now();
@@ -64,7 +55,7 @@
 // Whoever's connection breaks, no statement that is unsafe to repeat runs twice, and the program goes on.
 TEST(IoFaults, AConnectionThatBreaksRepeatsNothingThatMayHaveRun) {
   Faults faults;
-  Served served(faults);
+  Served served(faults, kLongRow);
   faults.fail(FaultyCall::receive, 15, {ETIMEDOUT, EHOSTUNREACH, ECONNRESET});
   faults.fail(FaultyCall::send, 30, {EPIPE, ETIMEDOUT, EHOSTUNREACH});
   for (int n = 1; n <= 80; ++n) {
--- /dev/null
+++ b/tests/faults/served.hpp
@@ -0,0 +1,21 @@
+// A broker that suffers faults, with one engine that serves whatever it is asked.
+#pragma once
+
+#include "../net/harness.hpp"
+#include "faults.hpp"
+
+namespace bellstair::test {
+
+struct Served {
+  // `row`: what the engine answers with.
+  explicit Served(const Faults& faults, std::string row = "x\ty\tz\n")
+      : engine([row = std::move(row)](const Call& call) {
+          return call.method == "DELETE" ? http(204) : rows(row);
+        }),
+        broker({{"s-00000001", engine.server.address()}}, {}, 0, json::object(), json::object(),
+               faults.environment()) {}
+  HttpEngine engine;
+  Broker broker;
+};
+
+}  // namespace bellstair::test
