Keep a process's draws of turns in its first window, and test beyond that window

Draws are made as before now and only not used there; ColdByMany stands untouched. Two other tests asked a process of no age to send to a cold engine (AColdEngineIsChargedAQuerysOwnWork, AnEngineThatBreaksConnections...), which it does not any more on purpose, as a restart would spend the budget twice: they let one window pass first and expect what they expected.

--- a/src/choice.cpp
+++ b/src/choice.cpp
@@ -452,13 +452,12 @@
   double lightest() const { return std::ranges::min_element(classes_, {}, &Class::work)->work; }
   void draw_turns(double passed) {
     sum_cores();
-    if (in_first_window()) return;
     for (auto* engine : ready_) {
       if (s_.tip_multiple <= 0 || !cold(*engine)) continue;
       const auto turns = slow_start::turn_rate(capacity(*engine), {lightest(), heaviest(), mean_work_});
       const bool drawn_now =
           drawn() < std::min(passed, slow_start::kTurnStep) * turns.work_per_second / turns.work;
-      if (!drawn_now || !engine->budget.may_begin_turn(now_, s_.tip_window)) continue;
+      if (!drawn_now || in_first_window() || !engine->budget.may_begin_turn(now_, s_.tip_window)) continue;
       engine->budget.begin_turn(now_, turns.work);
       invited_.push_back(engine);
     }
--- a/tests/copies_test.cpp
+++ b/tests/copies_test.cpp
@@ -194,6 +194,7 @@
       d.at(d.now, {estimated(id, 100ms)});
       d.ends(id, 0, engine_of(d, id, 0), Result::served);
     }
+    d.until(d.now + s.tip_window);  // in its first one a process sends nothing to a cold engine
     auto cold = engine(8);
     cold.last_start = d.now;
     d.list({cold});
--- a/tests/failures_test.cpp
+++ b/tests/failures_test.cpp
@@ -568,6 +568,7 @@
       s.me = i;
       Drive d(s, 1 + i);
       d.list({engine(7)});
+      d.until(d.now + s.tip_window);  // in its first one a process sends nothing to a cold engine
       d.ask(1, 0);
       d.ends(1, 0, 7, result);
       const auto broke = d.now;
