--- a/tests/net/stall_test.cpp
+++ b/tests/net/stall_test.cpp
@@ -138,6 +138,21 @@
   EXPECT_EQ(broker_.program->wait(), 0);
 }
 
+// A client that has connected before the loop's first turn has its 2 s as any other.
+TEST(Stall, AClientThatConnectsBeforeTheFirstTurnIsNotDismissed) {
+  HttpEngine engine([](const Call&) { return rows(kRow); });
+  Broker first({{"s-00000001", engine.server.address()}});
+  for (int n = 0; n < 5; ++n) {
+    const auto file = temporary(first.config.dump());
+    Program program({"serve", "--config", file});
+    Client client(program.listens("listen"));
+    std::this_thread::sleep_for(300ms);
+    client.ask(1, "lookup", kSelect);
+    EXPECT_EQ(client.answer().value("id", 0), 1);
+    ::unlink(file.c_str());
+  }
+}
+
 // The platform's kill counts from when it asked the program to stop, whenever that one hears of it: 3.7 s for
 // deadlines of 3 s and more.
 TEST(Stall, ARequestToStopCountsFromWhenItMayHaveCome) {
