Have the time before the first socket is read

The first tick is due in the first turn's preparation, before any poll; the front's clock stood at 0 until then and took a new client's 2 s to be over. Measured: the new test and the other tests of stalls pass.

--- a/src/app/broker.cpp
+++ b/src/app/broker.cpp
@@ -147,6 +147,7 @@
   hangup_.start(SIGHUP);
   counters_asked_.start(SIGUSR1);
   let_signals_through({SIGHUP, SIGTERM, SIGINT, SIGUSR1});
+  tick_due_ = true;  // before the first socket is read, so that all have the time
   tick_.start(0, seconds(core::Reducer::kTick));
   prepare_.start();
   check_.start();
