Review, case 3: a late second copy of an answer is served to another client

Cause: the MySQL engine client gives a connection to the next statement at once, so that a second copy of an answer which comes milliseconds late is read as that statement's answer; the client for HTTP engines lets connections rest for 50 ms. Change: a test in review/3 with MySQL clients of two schools and engines that send one in twenty answers twice. Nothing is fixed.

--- a/review/common/mysqlwire.py
+++ b/review/common/mysqlwire.py
@@ -4,8 +4,9 @@
 import socket
 import struct
 import threading
+import time
 
-from stand import Closed, Reader, now, serve
+from stand import Closed, Reader, serve
 
 LONG_PASSWORD, PROTOCOL_41, TRANSACTIONS, SECURE, PLUGIN_AUTH, LENENC_AUTH, ATTRIBUTES = (
     1, 1 << 9, 1 << 13, 1 << 15, 1 << 19, 1 << 21, 1 << 27)
@@ -104,11 +105,12 @@
     """Calls on_prepare(session, text) and on_execute(session, text, values, attributes).
 
     on_execute returns rows (a list of lists of bytes), an error as (code, state, text), or None to reset the connection.
-    on_kill(connection id) is called for KILL.
+    on_kill(connection id) is called for KILL. second_copy() is called for each answer that was sent; it returns the delay
+    after which the answer is sent once more, or None.
     """
 
-    def __init__(self, sock, on_prepare, on_execute, on_kill=lambda ident: None):
-        self.on_prepare, self.on_execute, self.on_kill = on_prepare, on_execute, on_kill
+    def __init__(self, sock, on_prepare, on_execute, on_kill=lambda ident: None, second_copy=lambda: None):
+        self.on_prepare, self.on_execute, self.on_kill, self.second_copy = on_prepare, on_execute, on_kill, second_copy
         self.lock, self.last = threading.Lock(), 0
         serve(sock, self.handle)
 
@@ -170,15 +172,22 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             raise Closed()
         if isinstance(rows, tuple):
-            packets.send(error_packet(*rows))
+            out = [error_packet(*rows)]
         elif not rows:
-            packets.send(OK)
+            out = [OK]
         else:
             out = [lenenc(len(rows[0]))] + [column(b"c%d" % i) for i in range(len(rows[0]))] + [EOF_PACKET]
             for row in rows:
                 cells = b"".join(lenenc_text(cell) for cell in row)
                 out.append(b"\x00" + b"\x00" * ((len(row) + 9) // 8) + cells if binary else cells)
-            packets.send(*(out + [EOF_PACKET]))
+            out.append(EOF_PACKET)
+        sequence = packets.sequence
+        packets.send(*out)
+        delay = self.second_copy()
+        if delay is not None:
+            time.sleep(delay)
+            packets.sequence = sequence
+            packets.send(*out)
 
 
 class MysqlClient:
@@ -249,6 +258,10 @@
     password_env = "BELLSTAIR_GATEWAY_PASSWORD"
     tenant       = "lycee-ennour"
   }
+  user "amal" {
+    password_env = "BELLSTAIR_GATEWAY_PASSWORD"
+    tenant       = "ecole-el-amal"
+  }
 }
 mysql_engines {
   user         = "broker"
