Review, case 1: four bad clients of two messages, and an end for cases that hang

Cause: with two bad clients one turn of the loop held two messages, 5 s here and less on a faster machine; a case that hung was ended from outside, with another status than 2. Change: four bad clients send two messages each, half as much in all for each; a case ends itself with status 2 after 110 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 CONNECTIONS = 10
 REQUESTS_A_SECOND = 10
 TROUBLE_AT, LAST_REQUEST_AT = 3.0, 25.0
-BAD_CLIENTS, BAD_MESSAGES = 2, 4
+BAD_CLIENTS, BAD_MESSAGES = 4, 2
 BAD_MESSAGE_BYTES = 250_000
 
 
--- a/review/common/stand.py
+++ b/review/common/stand.py
@@ -325,6 +325,18 @@
     """Runs case(record, scratch); it returns the list of breaks. Exits with 0, 1 or 2."""
     record = Record(folder)
     scratch = tempfile.mkdtemp(prefix="review-")
+
+    def give_up():
+        print("cannot run: the case did not end in time")
+        record("cannot run: the case did not end in time")
+        sys.stdout.flush()
+        stop_all()
+        shutil.rmtree(scratch, ignore_errors=True)
+        os._exit(2)
+
+    watchdog = threading.Timer(110, give_up)
+    watchdog.daemon = True
+    watchdog.start()
     try:
         breaks = case(record, scratch)
     except CannotRun as error:
