Parse control messages in time proportional to their length

What peers saw: nothing in service; found by looking for the cause of late answers behind calls of empty objects on related paths. Any peer of a control node or of a broker's control connection could hold it: a status with a list of empty objects of 128 KB took 0.37 s to decode and one with 128 KB of names 0.66 s, four times as much for twice the bytes; a message may have 4 MiB and 262,144 elements.

Cause: decode() used the JSON library's parser with a callback, which searches the enclosing list at the end of each object.

Change: decode() uses parse_bounded_json() with the same limits and texts. The elements that count are the same as before: names, scalars, and the beginnings and ends of lists and objects.

--- a/src/control/message.cpp
+++ b/src/control/message.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "common/bounded_json.hpp"
 #include "control/utf8.hpp"
 
 namespace bellstair::control {
@@ -11,10 +12,8 @@
 
 using nlohmann::json;
 
-constexpr int kMaxNesting = 8;
-// Limit of names and values in one message; a NodeStatus of 8,192 brokers has about 110,000 values and as
-// many names.
-constexpr std::size_t kMaxValues = std::size_t{1} << 18;
+// A NodeStatus of 8,192 brokers has about 230,000 elements.
+constexpr JsonLimits kMessageLimits{.max_depth = 8, .max_elements = std::size_t{1} << 18};
 constexpr std::size_t kMaxDigestBytes = 64;  // hex digits of SHA-256
 constexpr std::size_t kMaxStatusBrokers = 16'384;
 constexpr std::uint64_t kMaxNumber = std::numeric_limits<std::int64_t>::max();  // SQLite's limit
@@ -274,6 +273,18 @@
   throw MalformedMessage("message.kind: " + sanitize_utf8(kind, kMaxNameBytes) + " is unknown");
 }
 
+std::string describe(const JsonError& error) {
+  switch (error.code()) {
+    case JsonFault::too_deep:
+      return "message: nested deeper than " + std::to_string(kMessageLimits.max_depth);
+    case JsonFault::too_many_elements:
+      return "message: more than " + std::to_string(kMessageLimits.max_elements) + " values";
+    case JsonFault::syntax:
+      break;
+  }
+  return "message: " + sanitize_utf8(error.what(), kMaxParserErrorBytes);
+}
+
 }  // namespace
 
 std::string_view to_text(Role role) {
@@ -302,19 +313,10 @@
     throw MalformedMessage("message: " + std::to_string(text.size()) + " bytes exceed the limit of " +
                            std::to_string(kMaxMessageBytes));
   if (text == kPing) return Ping{};
-  std::size_t values = 0;
-  // Called during parsing, so that a malicious peer cannot make the parsed tree large.
-  const auto check_bounds = [&values](int depth, json::parse_event_t, const json&) {
-    if (depth > kMaxNesting)
-      throw MalformedMessage("message: nested deeper than " + std::to_string(kMaxNesting));
-    if (++values > kMaxValues)
-      throw MalformedMessage("message: more than " + std::to_string(kMaxValues) + " values");
-    return true;
-  };
   try {
-    return read_message(json::parse(text, check_bounds));
-  } catch (const json::exception& error) {
-    throw MalformedMessage("message: " + sanitize_utf8(error.what(), kMaxParserErrorBytes));
+    return read_message(parse_bounded_json(text, kMessageLimits));
+  } catch (const JsonError& error) {
+    throw MalformedMessage(describe(error));
   }
 }
 
