Unescape the templates of a heredoc in one pass

Cause: unescape_templates() erased one character of the text for each escaped template, which moves the rest: 128 KB of them took 64 ms to read, five times as much for twice the bytes.

Change: the text is copied once. The error for a template that is not escaped now gives its column in the file: characters erased before it in its line were left out.

--- a/src/hcl/heredoc.cpp
+++ b/src/hcl/heredoc.cpp
@@ -31,16 +31,19 @@
 }  // namespace
 
 void unescape_templates(std::string& text, Position at) {
-  for (std::size_t brace = 0; (brace = text.find('{', brace)) != std::string::npos; ++brace) {
+  std::string out;
+  std::size_t copied = 0;
+  for (auto brace = text.find('{'); brace != std::string::npos; brace = text.find('{', brace + 1)) {
     const auto sign = brace == 0 ? '\0' : text[brace - 1];
     if (sign != '$' && sign != '%') continue;
     if (brace < 2 || text[brace - 2] != sign) {
       throw ParseFailure{{position_in(text, brace, at), std::string("templates are not supported: '") + sign +
                                                             "{' (as literal text: '" + sign + sign + "{')"}};
     }
-    text.erase(brace - 1, 1);
-    --brace;
+    out.append(text, copied, brace - 1 - copied);
+    copied = brace;
   }
+  text = out.append(text, copied);
 }
 
 void remove_common_indent(std::string& text) {
--- a/tests/cost/inputs.cpp
+++ b/tests/cost/inputs.cpp
@@ -351,6 +351,7 @@
       {"document/blocks", document_of_blocks, read_document},
       {"document/heredocs", document_of_heredocs, read_document},
       {"document/open heredocs", document_of_open_heredocs, read_document},
+      {"document/templates", document_of_templates, read_document},
       {"document/spaces", document_of_spaces, read_document},
       {"document/comments", document_of_comments, read_document},
       {"document/JSON", json_document, read_document},
