Copy a bound value once, however often a MySQL comment refers to it

Callers saw: with the MySQL front switched on, one prepared statement of 900 KB of "limit=?1" and one execute with a value of 900 KB held the broker for 7.8 s (the longest wait of a health call beside it).

Cause: comment_options() copied the value for each option that refers to it: the product of both lengths.

Change: the comment is read first; then the last source of each of the seven options is copied. A bound NULL still leaves an earlier value.

--- a/src/mysql/mapping.cpp
+++ b/src/mysql/mapping.cpp
@@ -55,9 +55,16 @@
   return values[index - 1];
 }
 
+// The value of an option: text in the comment, or a bound value.
+struct OptionSource {
+  std::string_view text;
+  const sql::Value* bound = nullptr;
+};
+
 // `/* bellstair: class=load limit=20000 unique=?1 item=?2 */ INSERT ...`
+// Bound values are copied only once all options are known: a comment may refer to a long one many times.
 Options comment_options(std::string_view statement, const std::vector<sql::Value>& values) {
-  Options out;
+  std::map<std::string_view, OptionSource> sources;
   auto text = comment_text(statement);
   for (skip_whitespace(text); !text.empty(); skip_whitespace(text)) {
     const auto word = text.substr(0, text.find_first_of(kWhitespace));
@@ -65,14 +72,15 @@
     const auto equals = word.find('=');
     if (equals == std::string_view::npos || !is_option(word.substr(0, equals)))
       reject("the comment names no option: " + std::string(word));
-    const std::string name(word.substr(0, equals));
     const auto value = word.substr(equals + 1);
-    if (!value.starts_with('?')) {
-      out[name] = value;
-    } else if (const auto bound = sql::as_text(bound_value(value, values, word))) {
-      out[name] = *bound;
-    }
+    const auto* bound = value.starts_with('?') ? &bound_value(value, values, word) : nullptr;
+    if (bound != nullptr && std::holds_alternative<sql::Null>(*bound)) continue;
+    sources[word.substr(0, equals)] = {value, bound};
   }
+  Options out;
+  for (const auto& [name, source] : sources)
+    out[std::string(name)] =
+        source.bound == nullptr ? std::string(source.text) : sql::as_text(*source.bound).value_or("");
   return out;
 }
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -212,6 +212,10 @@
   EXPECT_EQ(full.idempotency_key, "k-1");
   EXPECT_EQ(full.ordering_key, 255U);
   EXPECT_EQ(full.time_limit, std::chrono::milliseconds(700));
+  const auto repeated = map("/* bellstair: limit=?1 limit=900 limit=?2 unique=?3 */ SELECT ?, ?, ?",
+                            {std::int64_t{700}, sql::Null{}, "k-3"s});
+  EXPECT_EQ(repeated.time_limit, std::chrono::milliseconds(900));
+  EXPECT_EQ(repeated.idempotency_key, "k-3");
   for (const auto* invalid :
        {"INSERT INTO a_1.b VALUES (1)", "/* bellstair: class=load */ INSERT INTO a_1.b VALUES (1)",
         "/* bellstair: class=none */ SELECT 1", "/* bellstair: what=1 */ SELECT 1",
--- a/tests/cost/inputs.cpp
+++ b/tests/cost/inputs.cpp
@@ -338,6 +338,7 @@
       {"packets/small in pieces", small_packets, read_slow_packets},
       {"packets/one in pieces", one_packet, read_slow_packets},
       {"packets/attributes", attributes, read_query},
+      {"packets/references to a long value", references, read_options},
       {"packets/repeated options", repeated_options, read_options},
       {"packets/result rows", result_rows, read_result},
       {"packets/result body", rows, read_result_body},
