Bound what one MySQL connection may take of a turn of the event loop

Callers saw: with the MySQL front switched on, a client that prepared a statement of 900 KB and sent 5,000 executes of it at once, 70 KB, held the broker for 14.5 s (the longest wait of a health call beside it). 1 MB of pings took 0.11 s.

Cause: the server handled all commands that it had read before it returned to the loop, and each execute of a statement that is answered at once costs as much as its stored text is long.

Change: a connection handles 256 KiB of commands, with the texts of the statements that they execute and a fixed charge for each; the rest waits for the next tick. A statement's first word is found once, when it is prepared. What a client has sent ahead when it closes its sending side is dropped, as it was behind a running statement.

Test: Mysql.ManyCommandsOfOneClientLeaveOthersTheirTurn asks for an order, not for a time: before, another client's ping was answered after all 400 executes of the first.

--- a/src/mysql/mysql_server.cpp
+++ b/src/mysql/mysql_server.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <utility>
 
 #include "mysql/result_writer.hpp"
 #include "sql/statement.hpp"
@@ -18,7 +19,9 @@
                                                kLenencAuth | kQueryAttributes;
 constexpr core::Time kLoginTimeout = 10s;
 constexpr std::size_t kMaxBuffered = std::size_t{2} << 20;  // bytes of commands that a client sends ahead
-constexpr std::size_t kMaxStatements = 1024;                // prepared, on one connection
+constexpr std::size_t kMaxBytesPerTurn = std::size_t{256} << 10;  // of commands handled
+constexpr std::size_t kCommandOverhead = 256;  // in bytes: handling an empty command costs about as much
+constexpr std::size_t kMaxStatements = 1024;   // prepared, on one connection
 constexpr std::size_t kNonceBytes = 20;
 constexpr std::uint8_t kAuthSwitch = 0xfe;
 constexpr std::uint8_t kMoreAuthData = 0x01;
@@ -144,6 +147,7 @@
     const auto found = connections_.find(serial);
     if (found != connections_.end() && found->second->phase < Phase::idle) close_gracefully(*found->second);
   });
+  read_deferred_packets();
 }
 
 void MysqlServer::resume(const net::Stall& stall) {
@@ -176,13 +180,14 @@
 // Handles one command at a time. Commands that a client sends ahead stay buffered until the response has been
 // sent.
 void MysqlServer::read_packets(Connection& connection) {
-  if (connection.in_read_packets) return;
+  if (connection.in_read_packets || connection.deferred) return;
   connection.in_read_packets = true;
+  connection.bytes_this_turn = 0;
   try {
-    while (connection.stream.open() && !connection.closing && connection.phase != Phase::running &&
-           connection.phase != Phase::directory_lookup) {
+    while (may_read_packet(connection) && connection.bytes_this_turn < kMaxBytesPerTurn) {
       const auto packet = connection.reader.next();
       if (!packet) break;
+      connection.bytes_this_turn += kCommandOverhead + packet->payload.size();
       on_packet(connection, *packet);
     }
   } catch (const MalformedPacket& error) {
@@ -191,10 +196,29 @@
     close_with_error(connection, {kMalformedPacket, "HY000", error.what()});
   }
   connection.in_read_packets = false;
+  if (may_read_packet(connection) && connection.bytes_this_turn >= kMaxBytesPerTurn &&
+      connection.reader.buffered() > 0) {
+    connection.deferred = true;
+    deferred_.push_back(connection.serial);
+  }
   if (connection.stream.open() && connection.reader.buffered() <= kMaxBuffered)
     connection.stream.pause(false);
 }
 
+bool MysqlServer::may_read_packet(const Connection& connection) const {
+  return connection.stream.open() && !connection.closing && connection.phase != Phase::running &&
+         connection.phase != Phase::directory_lookup;
+}
+
+void MysqlServer::read_deferred_packets() {
+  for (const auto serial : std::exchange(deferred_, {})) {
+    const auto found = connections_.find(serial);
+    if (found == connections_.end() || found->second->half_closed) continue;
+    found->second->deferred = false;
+    read_packets(*found->second);
+  }
+}
+
 void MysqlServer::on_packet(Connection& connection, const Packet& packet) {
   connection.sequence = static_cast<std::uint8_t>(packet.sequence + 1);
   switch (connection.phase) {
@@ -290,7 +314,7 @@
       return send(connection, write_ok());
     case kQuery: {
       const auto query = read_query(payload, connection.supports_attributes());
-      return submit(connection, query.text, {}, query.attributes, false);
+      return submit(connection, query.text, sql::first_word(query.text), {}, query.attributes, false);
     }
     case kPrepare:
       return prepare(connection, payload.substr(1));
@@ -311,14 +335,16 @@
 
 // The broker holds the prepared statement. An engine prepares it only when an attempt is sent to that engine.
 void MysqlServer::prepare(Connection& connection, std::string text) {
-  if (sql::first_word(text).empty())
-    return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
+  auto first_word = sql::first_word(text);
+  if (first_word.empty()) return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
+  const auto parameters = sql::placeholders(text).size();
   if (connection.statements.size() >= kMaxStatements)
     return send_error(connection,
                       {kTooManyStatements, "42000", "too many prepared statements on this connection"});
   const auto id = ++connection.last_statement_id;
   auto& statement = connection.statements[id];
-  statement.parameters = sql::placeholders(text).size();
+  statement.parameters = parameters;
+  statement.first_word = std::move(first_word);
   statement.text = std::move(text);
   send(connection, write_prepared({id, 0, static_cast<std::uint16_t>(statement.parameters)}));
   if (statement.parameters == 0) return;
@@ -331,9 +357,10 @@
   if (found == connection.statements.end())
     return send_error(connection, {kUnknownStatement, "HY000", "unknown prepared statement"});
   auto& statement = found->second;
+  connection.bytes_this_turn += statement.text.size();
   const auto execute =
       read_execute(payload, statement.parameters, connection.supports_attributes(), statement.types);
-  submit(connection, statement.text, execute.values, execute.attributes, true);
+  submit(connection, statement.text, statement.first_word, execute.values, execute.attributes, true);
 }
 
 std::string MysqlServer::new_ticket() {
@@ -342,12 +369,12 @@
   return ticket;
 }
 
-void MysqlServer::submit(Connection& connection, std::string_view text, const std::vector<sql::Value>& values,
-                         const std::vector<Attribute>& attributes, bool binary) {
-  const auto word = sql::first_word(text);
-  if (word.empty()) return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
+void MysqlServer::submit(Connection& connection, std::string_view text, std::string_view first_word,
+                         const std::vector<sql::Value>& values, const std::vector<Attribute>& attributes,
+                         bool binary) {
+  if (first_word.empty()) return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
   // Drivers set session variables when they connect. The broker has no session, so it ignores them.
-  if (word == "set") return send(connection, write_ok());
+  if (first_word == "set") return send(connection, write_ok());
   // The tenant may have been removed from the settings since the login.
   const auto tenant = names_.tenants.find(connection.tenant);
   if (tenant == names_.tenants.end()) return send_error(connection, access_denied(connection.user));
@@ -359,7 +386,7 @@
     connection.phase = Phase::running;
     connection.client = submission.client;
     connection.binary_result = binary;
-    connection.returns_rows = word == "select" || word == "with" || word == "show";
+    connection.returns_rows = first_word == "select" || first_word == "with" || first_word == "show";
     running_[submission.client] = connection.serial;
     emit_(core::RequestReceived{std::move(submission)});
   } catch (const InvalidStatement& invalid) {
--- a/src/mysql/mysql_server.hpp
+++ b/src/mysql/mysql_server.hpp
@@ -64,6 +64,7 @@
   };
   struct Statement {
     std::string text;
+    std::string first_word;
     std::size_t parameters = 0;
     ParameterTypes types;
   };
@@ -81,9 +82,11 @@
     std::uint32_t capabilities = 0;
     std::uint8_t sequence = 0;
     bool in_read_packets = false;
-    bool closing = false;           // input is ignored; closed once the running statement is answered
-    bool half_closed = false;       // the client has closed its sending side or the whole connection
-    core::ClientHandle client = 0;  // set while one of its statements runs
+    bool deferred = false;            // what it has sent is read on in the next tick
+    std::size_t bytes_this_turn = 0;  // of the commands read, and of the statements that they execute
+    bool closing = false;             // input is ignored; closed once the running statement is answered
+    bool half_closed = false;         // the client has closed its sending side or the whole connection
+    core::ClientHandle client = 0;    // set while one of its statements runs
     bool binary_result = false;
     bool returns_rows = false;  // of the running statement, judged by its first word
     std::map<std::uint32_t, Statement> statements;
@@ -92,7 +95,11 @@
 
   void accept(net::Fd fd);
   [[nodiscard]] net::Stream::Handlers handlers_of(Connection& connection);
+  // Handles commands up to a limit; the rest is left to the next tick, so that other connections get their
+  // turn.
   void read_packets(Connection& connection);
+  void read_deferred_packets();
+  [[nodiscard]] bool may_read_packet(const Connection& connection) const;
   void on_packet(Connection& connection, const Packet& packet);
 
   void on_login(Connection& connection, const std::string& payload);
@@ -104,8 +111,9 @@
   void on_command(Connection& connection, const std::string& payload);
   void prepare(Connection& connection, std::string text);
   void execute(Connection& connection, const std::string& payload);
-  void submit(Connection& connection, std::string_view text, const std::vector<sql::Value>& values,
-              const std::vector<Attribute>& attributes, bool binary);
+  // `first_word`: of the text, in lower case.
+  void submit(Connection& connection, std::string_view text, std::string_view first_word,
+              const std::vector<sql::Value>& values, const std::vector<Attribute>& attributes, bool binary);
   [[nodiscard]] std::string new_ticket();
 
   void send(Connection& connection, std::string_view payload);
@@ -127,6 +135,7 @@
   net::Listener listener_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections_;
   std::unordered_map<core::ClientHandle, std::uint64_t> running_;  // serials of connections
+  std::vector<std::uint64_t> deferred_;                            // serials of connections
   std::vector<std::unique_ptr<Connection>> closed_;  // freed once none of their handlers can be running
   net::Lingerer lingerer_;
   bool shutting_down_ = false;
--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -277,6 +277,33 @@
   execute_response.set_value();
 }
 
+// Returns how many packets of this length have arrived.
+std::size_t count_received_packets(Socket& socket, std::size_t packet_bytes) {
+  std::string received(std::size_t{1} << 20, '\0');
+  const auto size = ::recv(socket.fd(), received.data(), received.size(), MSG_DONTWAIT);
+  return size > 0 ? static_cast<std::size_t>(size) / packet_bytes : 0;
+}
+
+// Commands that one client sends at once held the broker for seconds: each execute of a long statement costs
+// as much as the statement is long. Another client's command is answered in between.
+TEST(Mysql, ManyCommandsOfOneClientLeaveOthersTheirTurn) {
+  constexpr std::size_t kCommands = 400;
+  HttpEngine engine([](const Call&) { return rows("a\tb\tc\n"); });
+  MysqlBroker broker({{"s-00000001", engine.server.address()}}, false);
+  MysqlClient busy(broker.mysql_address), other(broker.mysql_address);
+  const auto statement = busy.prepare(std::string(300'000, ' ') + "SET x = 1");
+  const auto execute = my::frame(0, my::write_execute({statement, {}, {}}, true));
+  std::string commands;
+  for (std::size_t n = 0; n < kCommands; ++n) commands += execute;
+  busy.socket.send(commands);
+  EXPECT_EQ(other.command("\x0e")[0], 0);  // ping
+  const auto answer_bytes = my::frame(0, my::write_ok()).size();
+  const auto answered_before = count_received_packets(busy.socket, answer_bytes);
+  EXPECT_LT(answered_before, kCommands);
+  for (auto n = answered_before; n < kCommands; ++n) EXPECT_EQ(busy.packets.receive()[0], 0);
+  EXPECT_EQ(busy.command("\x0e")[0], 0);
+}
+
 TEST(Mysql, RejectsMalformedPacketsAndServesOtherClients) {
   HttpEngine engine([](const Call&) { return rows("a\tb\tc\n"); });
   MysqlBroker broker({{"s-00000001", engine.server.address()}}, false);
