Refuse a MySQL statement with more parameters than an execute may have

Callers saw: a statement with over 4,096 parameters could be prepared, but each execute of it closed the connection as malformed, and over 65,535 the count in the answer was wrong. Each placeholder of two bytes was answered with a column definition of over thirty: 5 MB of prepares held the broker for 2.1 s.

Change: prepare answers with error 1390 (too many placeholders), as MySQL does beyond its own limit.

Test: Mysql.RejectsStatementWithMoreParametersThanExecuteTakes failed before (the prepare succeeded); 4,096 parameters still work.

--- a/src/mysql/command.cpp
+++ b/src/mysql/command.cpp
@@ -8,7 +8,6 @@
 namespace bellstair::mysql {
 namespace {
 
-constexpr std::size_t kMaxParameters = 4096;
 constexpr std::uint8_t kCursorFlags = 7, kParameterCountSent = 8;  // flags of an execute
 constexpr std::uint32_t kIterations = 1;  // of an execute; the protocol defines no other value
 
--- a/src/mysql/command.hpp
+++ b/src/mysql/command.hpp
@@ -13,6 +13,8 @@
 
 namespace bellstair::mysql {
 
+inline constexpr std::size_t kMaxParameters = 4096;  // of a statement, its attributes included
+
 struct Attribute {
   std::string name;
   sql::Value value;
--- a/src/mysql/mysql_server.cpp
+++ b/src/mysql/mysql_server.cpp
@@ -27,6 +27,7 @@
 constexpr std::uint8_t kMoreAuthData = 0x01;
 constexpr std::uint8_t kFastAuthSucceeded = 0x03;
 constexpr std::uint16_t kTooManyStatements = 1461;
+constexpr std::uint16_t kTooManyParameters = 1390;
 
 // Random bytes without zeros, since a zero byte terminates a string in this protocol.
 std::string new_nonce() {
@@ -338,6 +339,8 @@
   auto first_word = sql::first_word(text);
   if (first_word.empty()) return send_error(connection, {kEmptyQuery, "42000", "the query was empty"});
   const auto parameters = sql::placeholders(text).size();
+  if (parameters > kMaxParameters)
+    return send_error(connection, {kTooManyParameters, "HY000", "the statement has too many parameters"});
   if (connection.statements.size() >= kMaxStatements)
     return send_error(connection,
                       {kTooManyStatements, "42000", "too many prepared statements on this connection"});
--- a/tests/net/mysql_test.cpp
+++ b/tests/net/mysql_test.cpp
@@ -304,6 +304,20 @@
   EXPECT_EQ(busy.command("\x0e")[0], 0);
 }
 
+TEST(Mysql, RejectsStatementWithMoreParametersThanExecuteTakes) {
+  HttpEngine engine([](const Call&) { return rows("a\tb\tc\n"); });
+  MysqlBroker broker({{"s-00000001", engine.server.address()}}, false);
+  MysqlClient client(broker.mysql_address);
+  const auto select = [](std::size_t parameters) {
+    std::string text = "SELECT ?";
+    while (--parameters > 0) text += ",?";
+    return text + " FROM sales_17.x";
+  };
+  EXPECT_EQ(my::read_error(client.command("\x16" + select(4097))).code, 1390);
+  const auto statement = client.prepare(select(4096));
+  EXPECT_EQ(client.execute(statement, std::vector<sql::Value>(4096, sql::Null{})).size(), 1U);
+}
+
 TEST(Mysql, RejectsMalformedPacketsAndServesOtherClients) {
   HttpEngine engine([](const Call&) { return rows("a\tb\tc\n"); });
   MysqlBroker broker({{"s-00000001", engine.server.address()}}, false);
