Let the soak's clients send messages of deeply or widely nested values

The soak did not find that messages of empty objects hold the broker: its bad clients sent half a line, 300 KB of one letter or resets, none of which is parsed as a whole message. They now send calls of up to 250 KB of nested lists and objects too, at full speed, and read what they are sent.

--- a/tests/soak/client.cpp
+++ b/tests/soak/client.cpp
@@ -1,11 +1,13 @@
 // A stand-in client process: threads that send requests to brokers, and at times cancel them, disconnect,
-// send slowly, send bursts or send invalid input.
+// send slowly, send bursts, send invalid input or send messages of deeply or widely nested values.
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <random>
 #include <set>
 #include <thread>
+#include <utility>
 
 #include "../net/harness.hpp"
 #include "records.hpp"
@@ -18,6 +20,7 @@
 constexpr int kThreads = 4;
 constexpr int kMaxRoundsPerConnection = 6;
 constexpr double kAnswerTimeoutMs = 3000;  // after a request's limit, until it counts as unanswered
+constexpr std::uint64_t kMaxNestedMessages = 4, kMaxNestedDepth = 6, kMaxNestedBytes = 250'000;
 const char* const kClasses[] = {"lookup", "lookup", "lookup", "load", "once"};
 
 class ClientThread {
@@ -45,6 +48,7 @@
     requests_on_connection_ = 0;
     cancelled_.clear();
     if (random_() % 8 == 0) return send_garbage(socket);
+    if (random_() % 16 == 0) return send_nested_messages(socket);
     const auto rounds = 1 + random_() % kMaxRoundsPerConnection;
     for (unsigned n = 0; n < rounds; ++n) {
       const auto count = random_() % 10 == 0 ? 8U : 1U;
@@ -125,6 +129,48 @@
     if (action == 2) socket.reset();
   }
 
+  // Messages whose cost may lie in their nesting rather than in their length. Reads the answers to them.
+  void send_nested_messages(test::Socket& socket) {
+    std::string messages;
+    const auto count = 1 + random_() % kMaxNestedMessages;
+    for (unsigned n = 0; n < count; ++n) messages += nested_message(n + 1);
+    std::thread sender([&] { socket.send(messages); });  // at full speed, whether or not answers are read
+    const double until = now_ms() + kAnswerTimeoutMs;
+    for (unsigned answered = 0; answered < count && now_ms() < until;) {
+      try {
+        if (!socket.receive()) break;
+      } catch (const std::runtime_error&) {
+        continue;  // no data yet
+      }
+      answered += static_cast<unsigned>(std::ranges::count(std::exchange(socket.in, {}), '\n'));
+    }
+    ::shutdown(socket.fd(), SHUT_RDWR);
+    sender.join();
+  }
+
+  // A call whose statement is a list or an object of many equal values.
+  std::string nested_message(unsigned id) {
+    const bool list = random_() % 2 == 0;
+    const auto value = nested_value(random_() % kMaxNestedDepth);
+    const auto bytes = random_() % kMaxNestedBytes;
+    std::string out = R"({"jsonrpc":"2.0","id":)" + std::to_string(id) +
+                      R"(,"method":"load","params":{"txn":"0123456789abcdef","data":)" + (list ? '[' : '{');
+    for (unsigned n = 0; out.size() < bytes; ++n) {
+      if (!list) out += "\"" + std::to_string(n) + "\":";
+      out.append(value).push_back(',');
+    }
+    return out + (list ? "0]}}\n" : "\"\":0}}}\n");
+  }
+
+  std::string nested_value(std::uint64_t depth) {
+    static const char* const kScalars[] = {"1", "1e9", "null", "\"a\""};
+    const bool list = random_() % 2 == 0;
+    if (depth == 0)
+      return random_() % 2 == 0 ? kScalars[random_() % std::size(kScalars)] : list ? "[]" : "{}";
+    const auto inner = nested_value(depth - 1);
+    return list ? "[" + inner + "]" : R"({"a":)" + inner + "}";
+  }
+
   // Returns false if the connection has ended.
   bool read_all(test::Socket& socket) {
     while (!pending_.empty()) {
