--- a/Makefile
+++ b/Makefile
@@ -33,11 +33,12 @@
 	  build-test/tests/soak/soak --seed $$seed --seconds $(SECONDS) || failed="$$failed $$seed"; done; \
 	test -z "$$failed" || { echo "soak: seeds that failed:$$failed"; exit 1; }
 
-# Micro-costs, then how a runaway hook is felt by others; a few minutes.
+# Micro-costs, what it costs to read the worst inputs, then how a runaway hook is felt by others; a few minutes.
 bench:
 	cmake -B build-bench -DCMAKE_BUILD_TYPE=Release -DBELLSTAIR_BENCHMARKS=ON
 	cmake --build build-bench -j$(JOBS)
 	build-bench/benchmarks/hooks_cost --benchmark_repetitions=5 --benchmark_report_aggregates_only=true
+	build-bench/benchmarks/input_cost --benchmark_min_time=0.05
 	build-bench/benchmarks/hooks_isolation
 
 # How costs grow with the deployment's size; raw results for docs/CAPACITY.md. Under 10 minutes once it is built, or under 2
